--- /dev/null
+++ b/cmd/wirehost/config.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"winghatch/decide"
+)
+
+// settings are the wire's words for decide.Config. Keys that are not named here are ignored.
+type settings struct {
+	Classes []struct {
+		Name, Effect, Group               string
+		AimNs, GiveUpNs, WindowNs         int64
+		AimStretch, Importance, LateWorth float64
+		Stream                            bool
+	}
+	TiersOfService []struct {
+		Name                                     string
+		Refill, MostAtOnce                       float64
+		NeverOverRate, NeverOverDepth, HardSlack float64
+		Parallel                                 int
+		Pays, BeyondEarns, ExcessCost            float64
+	}
+	Extra struct {
+		HasCounter, CostAfter              bool
+		CounterPrice, PeerIntake, UnitsTop float64
+		CountWaitNs, MeterNs               int64
+	}
+	Limits struct {
+		SendCap                                             int
+		ParallelTries, MayCancel, Peers, Probes, RetryAfter bool
+		MaxRetryAfterNs, ConnectTimeoutNs                   int64
+	}
+	Safety struct {
+		AnswerSlackNs, DrainGraceNs, ColdNs, FallNs, AskWithinNs int64
+		ColdFrom, FallMultiple                                   float64
+	}
+	Prices struct {
+		CrossZone, Waste, Probe, Peer, LateFail float64
+	}
+	Telemetry            struct{ How string }
+	Rank, Instances      int
+	MembershipMode, Zone string
+}
+
+func parseConfig(raw json.RawMessage) (decide.Config, error) {
+	var s settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return decide.Config{}, fmt.Errorf("ProfileData: %w", fieldOf(err))
+	}
+	c := decide.Config{Rank: s.Rank, Gateways: s.Instances, Zone: s.Zone, SettledLater: s.Extra.CostAfter,
+		MaxUnits: s.Extra.UnitsTop, MeterPeriod: time.Duration(s.Extra.MeterNs), PeerIntake: s.Extra.PeerIntake,
+		Counter: s.Extra.HasCounter, CounterTimeout: time.Duration(s.Extra.CountWaitNs),
+		ReportsOnProbe: s.Telemetry.How == "probe", Subscribe: s.MembershipMode == "subscribe"}
+	c.Limits = decide.Limits{MaxAttempts: s.Limits.SendCap, Parallel: s.Limits.ParallelTries,
+		Cancel: s.Limits.MayCancel, Peers: s.Limits.Peers, Probes: s.Limits.Probes,
+		RetryAfter: s.Limits.RetryAfter, MaxRetryAfter: time.Duration(s.Limits.MaxRetryAfterNs),
+		ConnectTimeout: time.Duration(s.Limits.ConnectTimeoutNs)}
+	c.Safety = decide.Safety{AnswerSlack: time.Duration(s.Safety.AnswerSlackNs),
+		DrainGrace: time.Duration(s.Safety.DrainGraceNs), ColdFrom: s.Safety.ColdFrom,
+		ColdFor: time.Duration(s.Safety.ColdNs), FallMultiple: s.Safety.FallMultiple,
+		FallWindow: time.Duration(s.Safety.FallNs), AskWithin: time.Duration(s.Safety.AskWithinNs)}
+	c.Prices = decide.Prices{CrossZone: s.Prices.CrossZone, Waste: s.Prices.Waste, Probe: s.Prices.Probe,
+		Peer: s.Prices.Peer, LateFail: s.Prices.LateFail, Counter: s.Extra.CounterPrice}
+	effects := map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}
+	groups := map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone,
+		"cell": decide.GroupCell, "": decide.GroupCell}
+	for i, k := range s.Classes {
+		effect, ok := effects[k.Effect]
+		if !ok {
+			return c, fmt.Errorf("ProfileData: Classes[%d].Effect: unknown %q", i, k.Effect)
+		}
+		group, ok := groups[k.Group]
+		if !ok {
+			return c, fmt.Errorf("ProfileData: Classes[%d].Group: unknown %q", i, k.Group)
+		}
+		c.Classes = append(c.Classes, decide.Class{Name: k.Name, Effect: effect, Group: group,
+			Window: time.Duration(k.WindowNs), Aim: time.Duration(k.AimNs), AimStretch: k.AimStretch,
+			Deadline: time.Duration(k.GiveUpNs), Worth: k.Importance, LateWorth: k.LateWorth, Stream: k.Stream})
+	}
+	for _, p := range s.TiersOfService {
+		c.Plans = append(c.Plans, decide.Plan{Name: p.Name, Rate: p.Refill, Burst: p.MostAtOnce,
+			CeilingRate: p.NeverOverRate, CeilingBurst: p.NeverOverDepth, CeilingSlack: p.HardSlack,
+			MaxOpen: p.Parallel, Price: p.Pays, OverWorth: p.BeyondEarns, OverCost: p.ExcessCost})
+	}
+	return c, nil
+}
