Jammed servers: unanswered work counts as load, shed at a quarter to half of the aim

Cause: after time-outs a server still works on what nobody waits for; the load looked small and the jam fed itself.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,13 +53,14 @@
 
 // Attempts.
 const (
+	ghostFor    = 2 * time.Second      // work that nobody waits for counts as load no longer than this
 	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
 	overdueX    = 4.0                  // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	shedFrom    = 0.5  // of the time left: an estimate over it sheds the least worth work
-	shedTo      = 0.9  // of the time left: an estimate over it sheds all
+	shedFrom    = 0.25 // of the time left: an estimate over it sheds the least worth work
+	shedTo      = 0.45 // of the time left: an estimate over it sheds all
 	retryAdvice = 200 * time.Millisecond
 )
 
@@ -449,6 +450,7 @@
 	slow      float64 // times the usual time of a class
 	outAvg    float64 // own attempts out, as usual
 	out       int
+	ghosts    []time.Duration // when the attempts were sent that ended unanswered and may still run
 	errs      float64
 	sends     rate
 	silent    int
@@ -498,7 +500,17 @@
 
 // estimate is the time in seconds that an answer of the server to a request of the class should take.
 func (g *Gateway) estimate(s *server, k *class) float64 {
-	return k.base * s.slow * (1 + float64(s.out)) / (1 + s.outAvg)
+	return k.base * s.slow * (1 + g.load(s)) / (1 + s.outAvg)
+}
+
+// load is what this gateway has at the server: attempts out, and ghosts. A jammed server works on what has
+// timed out while its attempts out look few; without ghosts the jam feeds itself. Where a server drops such
+// work the first later answer clears them, so they cost little.
+func (g *Gateway) load(s *server) float64 {
+	for len(s.ghosts) > 0 && g.now-s.ghosts[0] > ghostFor {
+		s.ghosts = s.ghosts[1:]
+	}
+	return float64(s.out + len(s.ghosts))
 }
 
 // coldRate guards the rule on cold servers: requests a second that this gateway may send to it. What this
@@ -718,7 +730,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	r.cust.open++
-	s.outAvg += 0.05 * (float64(s.out) - s.outAvg)
+	s.outAvg += 0.05 * (g.load(s) - s.outAvg)
 	if s.coldUntil > g.now {
 		s.budget--
 	}
@@ -810,6 +822,7 @@
 	switch e.Outcome {
 	case OK:
 		g.good(s)
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.learnTime(s, r.class, e.Took, true)
 	case Error:
 		g.answered(s)
@@ -821,6 +834,7 @@
 		g.failed(s)
 	case TimedOut, Cancelled:
 		g.learnTime(s, r.class, e.Took, false)
+		s.ghosts = append(s.ghosts, a.at)
 	}
 }
 
