--- a/decide/decide.go
+++ b/decide/decide.go
@@ -59,8 +59,8 @@
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	shedFrom    = 0.25 // of the time left: an estimate over it sheds the least worth work
-	shedTo      = 0.45 // of the time left: an estimate over it sheds all
+	shedFrom    = 0.4 // of the time left: an estimate over it sheds the least worth work
+	shedTo      = 0.6 // of the time left: an estimate over it sheds all
 	retryAdvice = 200 * time.Millisecond
 )
 
