--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,13 +54,14 @@
 // Attempts.
 const (
 	ghostFor    = 2 * time.Second      // work that nobody waits for counts as load no longer than this
+	waitPart    = 0.5                  // of the shortest aim: usual time of an answer that open work is capped to
 	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
 	overdueX    = 4.0                  // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	shedFrom    = 0.4 // of the time left: an estimate over it sheds the least worth work
-	shedTo      = 0.6 // of the time left: an estimate over it sheds all
+	shedFrom    = 0.6  // of the cap on open work at which the least worth work is shed
+	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
 
@@ -96,6 +97,8 @@
 	peers     []peer
 	epoch     int
 	budget    float64
+	done      rate    // answers of all servers
+	quickest  float64 // shortest aim of a class, seconds
 	value     float64 // usual worth per unit of work of what is let in
 }
 
@@ -115,6 +118,9 @@
 		peers: make([]peer, cfg.Gateways), budget: budgetMost}
 	for _, k := range cfg.Classes {
 		g.classes[k.Name] = &class{Class: k, base: firstGuess * k.Aim.Seconds()}
+		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
+			g.quickest = k.Aim.Seconds()
+		}
 	}
 	for i, p := range cfg.Plans {
 		g.plans[p.Name] = i
@@ -706,6 +712,20 @@
 	g.send(r, s)
 }
 
+// pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
+// so a cap at the answers that do come times the time they should take holds the wait down whatever the
+// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
+func (g *Gateway) pressed() float64 {
+	open, n := 1.0, 0.0
+	for _, s := range g.order {
+		if s.State == Serving {
+			open += g.load(s)
+			n++
+		}
+	}
+	return open / max(g.done.get(g.now)*waitPart*g.quickest, 2*n/float64(g.cfg.Gateways))
+}
+
 // shed decides whether the wait is too long for what the request is worth.
 func (g *Gateway) shed(r *request, cost float64) bool {
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
@@ -713,8 +733,8 @@
 		g.value = value
 	}
 	g.value += 0.01 * (value - g.value)
-	f := shedFrom + (shedTo-shedFrom)*min(1, value/max(g.value, 1e-9))
-	return cost > f*(r.until-g.now).Seconds()
+	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
+	return g.pressed() > f || cost > shedTo*(r.until-g.now).Seconds()
 }
 
 func (g *Gateway) refuse(id string) {
@@ -822,6 +842,7 @@
 	switch e.Outcome {
 	case OK:
 		g.good(s)
+		g.done.add(g.now, 1)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.learnTime(s, r.class, e.Took, true)
 	case Error:
