--- a/decide/decide.go
+++ b/decide/decide.go
@@ -228,8 +228,7 @@
 	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.now, last: g.now,
 		told: make([]told, g.cfg.Gateways), queued: make([]bool, g.cfg.Gateways)}
 	c.part = 1 / float64(c.spread)
-	c.whole = max(0, startLevel*p.Burst-p.Rate*(g.now-g.started).Seconds())
-	c.level = c.whole * c.part
+	c.level = c.part * max(0, startLevel*p.Burst-p.Rate*(g.now-g.started).Seconds())
 	g.customers[key] = c
 	g.queue = append(g.queue, c)
 	return c
@@ -254,7 +253,9 @@
 	for i := range g.peers {
 		if i != g.cfg.Rank && g.inSet(c, i) {
 			all += c.told[i].rate.get(g.now) + partPrior*c.plan.Rate*even
-			oldest = min(oldest, g.peers[i].heard)
+			if oldest = min(oldest, g.peers[i].heard); !g.peers[i].known {
+				oldest = c.settled
+			}
 		}
 	}
 	c.part = even
