--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,6 +55,7 @@
 const (
 	ghostFor    = 2 * time.Second      // work that nobody waits for counts as load no longer than this
 	waitPart    = 0.9                  // of the shortest aim: time of an answer that open work is capped to
+	openLeast   = 3.0                  // attempts out a server, of all gateways, that are always allowed
 	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
 	overdueX    = 4.0                  // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
@@ -225,10 +226,10 @@
 		return c
 	}
 	p := &g.cfg.Plans[planNo]
-	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.now, last: g.now,
+	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
 		told: make([]told, g.cfg.Gateways), queued: make([]bool, g.cfg.Gateways)}
 	c.part = 1 / float64(c.spread)
-	c.level = c.part * max(0, startLevel*p.Burst-p.Rate*(g.now-g.started).Seconds())
+	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
 	g.customers[key] = c
 	g.queue = append(g.queue, c)
 	return c
@@ -724,7 +725,8 @@
 			n++
 		}
 	}
-	return open / max(g.done.get(g.now)*waitPart*g.quickest, 2*n/float64(g.cfg.Gateways))
+	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
+	return open / max(g.done.get(g.now)/seen*waitPart*g.quickest, openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
