Slowness of a server fades without answers

Guards also against any past trouble that a server has left; can harm when a slow server gets a request every few seconds.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,7 @@
 	baseGain     = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
 	slowGain     = 0.2             // gain of a server's slowness against that: a few answers tell
 	firstGuess   = 0.2             // of the aim: the usual time before any answer
+	slowMemory   = 2 * time.Second // slowness fades to the fleet's without answers: the unused get another look
 	errGain      = 0.15            // gain of a server's share of errors
 	errEject     = 0.3             // share of errors, beyond twice the fleet's, at which a server is ejected
 	silentEject  = 2               // overdue attempts in a row without any answer that eject a server
@@ -456,6 +457,7 @@
 type server struct {
 	Server
 	slow      float64 // times the usual time of a class
+	slowAt    time.Duration
 	outAvg    float64 // own attempts out, as usual
 	out       int
 	ghosts    []time.Duration // when the attempts were sent that ended unanswered and may still run
@@ -508,7 +510,12 @@
 
 // estimate is the time in seconds that an answer of the server to a request of the class should take.
 func (g *Gateway) estimate(s *server, k *class) float64 {
-	return k.base * s.slow * (1 + g.load(s)) / (1 + s.outAvg)
+	return k.base * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
+}
+
+// slowness is a server's, faded by the time since its last answer.
+func (g *Gateway) slowness(s *server) float64 {
+	return 1 + (s.slow-1)*math.Exp(-(g.now-s.slowAt).Seconds()/slowMemory.Seconds())
 }
 
 // load is what this gateway has at the server: attempts out, and ghosts. A jammed server works on what has
@@ -588,6 +595,7 @@
 // learnTime takes the time of an answer, or of one that did not come in that time.
 func (g *Gateway) learnTime(s *server, k *class, took time.Duration, ok bool) {
 	x := took.Seconds() / max(k.base, 1e-6)
+	s.slow, s.slowAt = g.slowness(s), g.now
 	if ok || x > s.slow {
 		s.slow += slowGain * (min(x, 20) - s.slow)
 	}
