--- a/decide/decide.go
+++ b/decide/decide.go
@@ -46,6 +46,7 @@
 	ejectFor     = 2 * time.Second // first ejection; doubled each time ...
 	ejectMost    = 8 * time.Second // ... up to this
 	ejectPart    = 0.34            // of the servers may be ejected at once: more is no outlier
+	silentPart   = 0.8             // of them for silence: a cut link may hide most of them
 	trialsNeeded = 3               // good answers, one at a time, that end an ejection
 	crossZone    = 1.03            // factor on the estimate of a server in another zone
 	coldMargin   = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
@@ -70,38 +71,35 @@
 const beatToken = 1 // timer of the beat; tokens above it name attempts
 
 type peer struct {
-	heard, sent time.Duration
-	epoch       int
-	seq         int
-	mySeq       int
-	known       bool // heard since this gateway started
-	younger     bool // it started after this gateway, so all of its totals are news
-	queue       []*customer
+	heard, sent       time.Duration
+	epoch, seq, mySeq int
+	known             bool // heard since this gateway started
+	younger           bool // it started after this gateway, so all of its totals are news
+	queue             []*customer
 }
 
 // Gateway decides for one gateway. Make it with New.
 type Gateway struct {
-	cfg       Config
-	rng       *rand.Rand
-	now       time.Duration
-	started   time.Duration
-	begun     bool
-	out       []Action
-	classes   map[string]*class
-	plans     map[string]int
-	servers   map[string]*server
-	order     []*server // by ID
-	requests  map[string]*request
-	timers    map[uint64]attemptRef
-	nextToken uint64
-	customers map[uint64]*customer
-	queue     []*customer // customers in the order of first sight, to sweep the idle
-	peers     []peer
-	epoch     int
-	budget    float64
-	done      rate    // answers of all servers
-	quickest  float64 // shortest aim of a class, seconds
-	value     float64 // usual worth per unit of work of what is let in
+	cfg          Config
+	rng          *rand.Rand
+	now, started time.Duration
+	begun        bool
+	out          []Action
+	classes      map[string]*class
+	plans        map[string]int
+	servers      map[string]*server
+	order        []*server // by ID
+	requests     map[string]*request
+	timers       map[uint64]attemptRef
+	nextToken    uint64
+	customers    map[uint64]*customer
+	queue        []*customer // customers in the order of first sight, to sweep the idle
+	peers        []peer
+	epoch        int
+	budget       float64
+	done         rate    // answers of all servers
+	quickest     float64 // shortest aim of a class, seconds
+	value        float64 // usual worth per unit of work of what is let in
 }
 
 type class struct {
@@ -206,11 +204,10 @@
 	plan          *Plan
 	planNo        int
 	first, spread int
-	at            time.Duration // of the last leak
-	level         float64       // of this gateway's bucket
-	whole         float64       // of the bucket that all gateways together would fill, as far as told
-	settled       time.Duration
-	part          float64
+	at, last      time.Duration // of the last leak, of the last use
+	level, part   float64       // of this gateway's bucket; its part of rate and mark
+	whole         float64       // of the bucket that all gateways together fill, as far as told
+	settled       time.Duration // the level follows what peers told up to then
 	asked         rate
 	usedSum       float64
 	askedSum      float64
@@ -218,7 +215,6 @@
 	queued        []bool
 	open          int
 	store         float64 // units of this gateway's slice of the ceiling
-	last          time.Duration
 }
 
 func (g *Gateway) customer(key uint64, planNo int) *customer {
@@ -456,21 +452,20 @@
 
 type server struct {
 	Server
-	slow      float64 // times the usual time of a class
-	slowAt    time.Duration
-	outAvg    float64 // own attempts out, as usual
-	out       int
-	ghosts    []time.Duration // when the attempts were sent that ended unanswered and may still run
-	errs      float64
-	sends     rate
-	silent    int
-	lastGood  time.Duration
-	coldUntil time.Duration
-	budget    float64 // cold budget, in requests
-	budgetAt  time.Duration
-	ejected   time.Duration // until then
-	ejections int
-	trials    int // good answers still wanted; 0: no trial
+	slow, outAvg float64 // times the usual time of a class; its usual load
+	slowAt       time.Duration
+	out          int
+	ghosts       []time.Duration // when the attempts were sent that ended unanswered and may still run
+	errs         float64
+	sends        rate
+	silent       int
+	lastGood     time.Duration
+	coldUntil    time.Duration
+	budget       float64 // cold budget, in requests
+	budgetAt     time.Duration
+	ejected      time.Duration // until then
+	ejections    int
+	trials       int // good answers still wanted; 0: no trial
 }
 
 func (g *Gateway) fleet(e FleetUpdate) {
@@ -532,16 +527,23 @@
 // gateway sends a usual server is its own share of the fleet's traffic, so that all gateways together stay
 // within the multiple without agreement.
 func (g *Gateway) coldRate(s *server) float64 {
+	warm := g.mean(func(o *server) bool { return o.coldUntil <= g.now },
+		func(o *server) float64 { return o.sends.get(g.now) })
+	f := g.cfg.Safety.ColdFrom
+	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
+	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * warm
+}
+
+// mean is the mean of a figure over the serving servers that count.
+func (g *Gateway) mean(counts func(*server) bool, figure func(*server) float64) float64 {
 	sum, n := 0.0, 0
 	for _, o := range g.order {
-		if o.State == Serving && o.coldUntil <= g.now {
-			sum += o.sends.get(g.now)
+		if o.State == Serving && counts(o) {
+			sum += figure(o)
 			n++
 		}
 	}
-	f := g.cfg.Safety.ColdFrom
-	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
-	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * sum / float64(max(n, 1))
+	return sum / float64(max(n, 1))
 }
 
 func (g *Gateway) cold(s *server) bool {
@@ -609,32 +611,24 @@
 func (g *Gateway) failed(s *server) {
 	s.errs += errGain * (1 - s.errs)
 	if s.trials > 0 {
-		g.eject(s)
+		g.eject(s, 1)
 		return
 	}
-	sum, n := 0.0, 0
-	for _, o := range g.order {
-		if o != s && o.State == Serving {
-			sum += o.errs
-			n++
-		}
-	}
-	if s.errs > errEject+2*sum/float64(max(1, n)) {
-		g.eject(s)
+	others := g.mean(func(o *server) bool { return o != s }, func(o *server) float64 { return o.errs })
+	if s.errs > errEject+2*others {
+		g.eject(s, ejectPart)
 	}
 }
 
-func (g *Gateway) eject(s *server) {
-	n, all := 0, 0
-	for _, o := range g.order {
-		if o.State == Serving {
-			all++
-			if o != s && (o.ejected > g.now || o.trials > 0) {
-				n++
-			}
+// eject takes the server out for a while, unless that part of the servers is out already.
+func (g *Gateway) eject(s *server, part float64) {
+	out := g.mean(func(*server) bool { return true }, func(o *server) float64 {
+		if o == s || o.ejected > g.now || o.trials > 0 {
+			return 1
 		}
-	}
-	if s.ejected > g.now || float64(n+1) > ejectPart*float64(all) {
+		return 0
+	})
+	if s.ejected > g.now || out > part {
 		return
 	}
 	s.ejected = g.now + min(ejectMost, ejectFor<<min(s.ejections, 4))
@@ -655,10 +649,10 @@
 // ---- Attempts and deadlines.
 
 type attempt struct {
-	server *server
-	n      int
-	at     time.Duration
-	over   bool
+	server    *server
+	n         int
+	at        time.Duration
+	over, ran bool // ran: it may have run
 }
 
 type attemptRef struct {
@@ -668,16 +662,13 @@
 
 type request struct {
 	Request
-	class     *class
-	cust      *customer
-	units     float64
-	arrived   time.Duration
-	until     time.Duration // no use after this
-	attempts  []*attempt
-	out       int
-	mayRun    []*attempt // attempts that may have run
-	streaming bool
-	finished  bool
+	class               *class
+	cust                *customer
+	units               float64
+	until               time.Duration // no use after this
+	attempts            []*attempt
+	out                 int
+	streaming, finished bool
 }
 
 func (g *Gateway) attempt(id string, n int) *attempt {
@@ -696,7 +687,7 @@
 		g.do(Refuse{ID: e.ID})
 		return
 	}
-	r := &request{Request: e, class: k, units: max(0, e.Units), arrived: g.now, until: e.Deadline}
+	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline}
 	if k.LateWorth == 0 && !k.Stream && k.AimStretch == 0 {
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
 	}
@@ -757,7 +748,7 @@
 }
 
 func (g *Gateway) send(r *request, s *server) {
-	a := &attempt{server: s, n: len(r.attempts), at: g.now}
+	a := &attempt{server: s, n: len(r.attempts), at: g.now, ran: true}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	r.cust.open++
@@ -785,7 +776,7 @@
 		return
 	}
 	if s.silent++; s.silent >= silentEject || s.trials > 0 {
-		g.eject(s)
+		g.eject(s, silentPart)
 	}
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
@@ -819,9 +810,7 @@
 		return
 	}
 	a.over = true
-	if !e.Outcome.neverRan() {
-		r.mayRun = append(r.mayRun, a)
-	}
+	a.ran = !e.Outcome.neverRan()
 	r.out--
 	a.server.out--
 	r.cust.open--
@@ -876,7 +865,7 @@
 // may have run.
 func (g *Gateway) mayRepeatAt(r *request, s *server) bool {
 	for _, a := range r.attempts {
-		if r.class.Effect == Safe || (a.over && !g.ran(r, a)) {
+		if r.class.Effect == Safe || !a.ran {
 			continue
 		}
 		same := r.class.Group == GroupAll || (r.class.Group == GroupZone && s.Zone == a.server.Zone) ||
@@ -888,12 +877,10 @@
 	return true
 }
 
-// ran reports whether an attempt that is over may have run.
-func (g *Gateway) ran(r *request, a *attempt) bool { return slices.Contains(r.mayRun, a) }
-
 // giveUp gives the final answer: a refusal where that may be promised, else a failure.
 func (g *Gateway) giveUp(r *request) {
-	promise := r.class.Effect == Safe || len(r.mayRun) == 0 ||
+	mayRun := func(a *attempt) bool { return a.ran }
+	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
 		(r.class.Effect == Keyed && r.class.Group == GroupAll)
 	if promise && r.out == 0 {
 		g.refuse(r.ID)
