--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,7 @@
 	baseGain     = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
 	slowGain     = 0.2             // gain of a server's slowness against that: a few answers tell
 	firstGuess   = 0.2             // of the aim: the usual time before any answer
-	slowMemory   = 2 * time.Second // slowness fades to the fleet's without answers: the unused get another look
+	slowMemory   = 2 * time.Second // slowness fades without answers: the unused get another look
 	errGain      = 0.15            // gain of a server's share of errors
 	errEject     = 0.3             // share of errors, beyond twice the fleet's, at which a server is ejected
 	silentEject  = 2               // overdue attempts in a row without any answer that eject a server
