--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,9 +55,9 @@
 
 // Attempts.
 const (
-	ghostFor    = 2 * time.Second      // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.9                  // of the shortest aim: time of an answer that open work is capped to
-	openLeast   = 3.0                  // attempts out a server, of all gateways, that are always allowed
+	ghostFor    = 1 * time.Second      // work that nobody waits for counts as load no longer than this
+	waitPart    = 0.7                  // of the shortest aim: time of an answer that open work is capped to
+	openLeast   = 2.0                  // attempts out a server, of all gateways, that are always allowed
 	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
 	overdueX    = 4.0                  // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
@@ -725,7 +725,7 @@
 		}
 	}
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
-	return open / max(g.done.get(g.now)/seen*waitPart*g.quickest, openLeast*n/float64(g.cfg.Gateways))
+	return open / (g.done.get(g.now)/seen*waitPart*g.quickest + openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
