--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,8 +28,8 @@
 	intakePart = 0.5                    // of the stated intake is used by all peers together: room for bursts
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
 	maxMessage = 256                    // bytes of a message
-	msgVersion = "a"                    // messages that begin otherwise are not understood and dropped
-	msgHead    = 5                      // version, epoch of two, number of two digits
+	msgVersion = "b"                    // messages that begin otherwise are not understood and dropped
+	msgHead    = 9                      // version; two digits each: epoch, number, answers, wishes
 	msgEntry   = 12                     // customer of six digits, plan, used of two, asked of two, level
 	levelSteps = 30.0                   // digits of a told level for a whole burst
 )
@@ -55,9 +55,9 @@
 
 // Attempts.
 const (
-	ghostFor    = 1 * time.Second      // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.7                  // of the shortest aim: time of an answer that open work is capped to
-	openLeast   = 2.0                  // attempts out a server, of all gateways, that are always allowed
+	ghostFor    = 2 * time.Second      // work that nobody waits for counts as load no longer than this
+	waitPart    = 0.9                  // of the shortest aim: time of an answer that open work is capped to
+	openLeast   = 3.0                  // attempts out a server, of all gateways, that are always allowed
 	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
 	overdueX    = 4.0                  // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
@@ -73,8 +73,9 @@
 type peer struct {
 	heard, sent       time.Duration
 	epoch, seq, mySeq int
-	known             bool // heard since this gateway started
-	younger           bool // it started after this gateway, so all of its totals are news
+	done, wish        float64 // its answers, and requests that its quotas had room for, a second
+	known             bool    // heard since this gateway started
+	younger           bool    // it started after this gateway, so all of its totals are news
 	queue             []*customer
 }
 
@@ -97,7 +98,7 @@
 	peers        []peer
 	epoch        int
 	budget       float64
-	done         rate    // answers of all servers
+	done, wish   rate    // answers of all servers; requests that the quotas had room for
 	quickest     float64 // shortest aim of a class, seconds
 	value        float64 // usual worth per unit of work of what is let in
 }
@@ -358,6 +359,8 @@
 	b.WriteString(msgVersion)
 	encode(&b, uint64(g.epoch), 2)
 	encode(&b, uint64(p.mySeq), 2)
+	encode(&b, uint64(min(4095, g.done.get(g.now))), 2)
+	encode(&b, uint64(min(4095, math.Ceil(g.wish.get(g.now)))), 2)
 	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
 	for _, c := range p.queue[:n] {
 		c.queued[i] = false
@@ -383,7 +386,7 @@
 		return
 	}
 	head, _ := decode(e.Text[1:msgHead])
-	epoch, seq := int(head>>12), int(head&4095)
+	epoch, seq := int(head>>36), int(head>>24&4095)
 	p := &g.peers[e.From]
 	if p.known && p.epoch == epoch && diff(p.seq, seq) <= 0 {
 		return
@@ -392,6 +395,7 @@
 		g.greet(e.From, p)
 	}
 	p.epoch, p.seq, p.known, p.heard = epoch, seq, true, g.now
+	p.done, p.wish = float64(head>>12&4095), float64(head&4095)
 	for s := e.Text[msgHead:]; s != ""; s = s[msgEntry:] {
 		g.learn(e.From, p, s[:msgEntry])
 	}
@@ -701,6 +705,7 @@
 		g.refuse(e.ID)
 		return
 	}
+	g.wish.add(g.now, 1)
 	s, cost := g.choose(r, nil)
 	if s == nil || g.shed(r, cost) {
 		g.refuse(e.ID)
@@ -715,7 +720,8 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
+// servers can do, and closes when they jam. Its part of what all gateways get done follows its demand, so that
+// one with little flow is not kept closed by that. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
 	open, n := 1.0, 0.0
 	for _, s := range g.order {
@@ -725,7 +731,16 @@
 		}
 	}
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
-	return open / (g.done.get(g.now)/seen*waitPart*g.quickest + openLeast*n/float64(g.cfg.Gateways))
+	done, wish := g.done.get(g.now)/seen, g.wish.get(g.now)/seen
+	all := wish
+	for _, p := range g.peers {
+		if p.known && g.now-p.heard < peerStale {
+			done += p.done
+			all += p.wish
+		}
+	}
+	mine := done * wish / max(all, 1) * waitPart * g.quickest
+	return open / max(mine, openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
