--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,8 @@
 
 // Sharing.
 const (
-	intakePart = 0.5                    // of the stated intake is used by all peers together: room for bursts
+	intakePart = 0.8                    // of the stated intake is used by all peers together
+	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
 	maxMessage = 256                    // bytes of a message
 	msgVersion = "b"                    // messages that begin otherwise are not understood and dropped
@@ -45,8 +46,7 @@
 	silentEject  = 2               // overdue attempts in a row without any answer that eject a server
 	ejectFor     = 2 * time.Second // first ejection; doubled each time ...
 	ejectMost    = 8 * time.Second // ... up to this
-	ejectPart    = 0.34            // of the servers may be ejected at once: more is no outlier
-	silentPart   = 0.8             // of them for silence: a cut link may hide most of them
+	ejectPart    = 0.34            // of the servers may be ejected at once
 	trialsNeeded = 3               // good answers, one at a time, that end an ejection
 	crossZone    = 1.03            // factor on the estimate of a server in another zone
 	coldMargin   = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
@@ -212,6 +212,7 @@
 	asked         rate
 	usedSum       float64
 	askedSum      float64
+	askedTold     float64
 	told          []told
 	queued        []bool
 	open          int
@@ -270,8 +271,9 @@
 func (g *Gateway) admit(c *customer, r *request) bool {
 	g.leak(c)
 	c.asked.add(g.now, r.units)
-	c.askedSum += r.units
-	g.tellSoon(c)
+	if c.askedSum += r.units; c.askedSum-c.askedTold > askedStep*c.plan.Burst {
+		g.tellSoon(c) // what was sent on is told at once, what was only asked by the step
+	}
 	if c.plan.Rate > 0 && c.level+c.part*r.units > c.part*c.plan.Burst {
 		return false
 	}
@@ -333,6 +335,7 @@
 }
 
 func (g *Gateway) tellSoon(c *customer) {
+	c.askedTold = c.askedSum
 	for i := range g.peers {
 		if g.cfg.Limits.Peers && i != g.cfg.Rank && g.inSet(c, i) && !c.queued[i] {
 			c.queued[i] = true
@@ -561,10 +564,7 @@
 
 // usable reports whether a request may go to the server by health and by the rules.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Serving || g.cold(s) || !g.mayRepeatAt(r, s) {
-		return false
-	}
-	if s.ejected > g.now {
+	if s.State != Serving || s.ejected > g.now || g.cold(s) || !g.mayRepeatAt(r, s) {
 		return false
 	}
 	return s.trials == 0 || (s.out == 0 && r.class.Effect != Unsafe)
@@ -615,24 +615,24 @@
 func (g *Gateway) failed(s *server) {
 	s.errs += errGain * (1 - s.errs)
 	if s.trials > 0 {
-		g.eject(s, 1)
+		g.eject(s)
 		return
 	}
 	others := g.mean(func(o *server) bool { return o != s }, func(o *server) float64 { return o.errs })
 	if s.errs > errEject+2*others {
-		g.eject(s, ejectPart)
+		g.eject(s)
 	}
 }
 
-// eject takes the server out for a while, unless that part of the servers is out already.
-func (g *Gateway) eject(s *server, part float64) {
+// eject takes the server out for a while, unless too many are: that is no outlier.
+func (g *Gateway) eject(s *server) {
 	out := g.mean(func(*server) bool { return true }, func(o *server) float64 {
 		if o == s || o.ejected > g.now || o.trials > 0 {
 			return 1
 		}
 		return 0
 	})
-	if s.ejected > g.now || out > part {
+	if s.ejected > g.now || out > ejectPart {
 		return
 	}
 	s.ejected = g.now + min(ejectMost, ejectFor<<min(s.ejections, 4))
@@ -720,8 +720,8 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. Its part of what all gateways get done follows its demand, so that
-// one with little flow is not kept closed by that. A few may always be out, to find out that a jam is over.
+// servers can do, and closes when they jam. Its part of what all gateways get done follows its demand, so
+// that one with little flow is not kept closed by that. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
 	open, n := 1.0, 0.0
 	for _, s := range g.order {
@@ -791,7 +791,7 @@
 		return
 	}
 	if s.silent++; s.silent >= silentEject || s.trials > 0 {
-		g.eject(s, silentPart)
+		g.eject(s)
 	}
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
@@ -903,7 +903,6 @@
 		g.do(Fail{r.ID})
 	}
 	g.finish(r)
-	g.forget(r)
 }
 
 // finish ends a request; what is still out is called off.
