Unheard peers leave the even slice; tests of the module

Found by a test: with silent peers the part rose to the whole, as their demand looked like none. Tests: bucket, part, settlement, ceiling, effects, drains, slow start, ejection, ghosts, restart, bad input, random events against the five rules, determinism, fuzz of peer messages.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -254,15 +254,17 @@
 		if i != g.cfg.Rank && g.inSet(c, i) {
 			all += c.told[i].rate.get(g.now) + partPrior*c.plan.Rate*even
 			if oldest = min(oldest, g.peers[i].heard); !g.peers[i].known {
-				oldest = c.settled
+				oldest = g.now - peerStale
 			}
 		}
 	}
-	c.part = even
+	if c.part = even; g.now-oldest >= peerStale {
+		return // who is not heard may ask as much: the even slice alone
+	}
 	if all > 0 {
 		c.part = max(even, own/all)
 	}
-	if c.spread > 1 && oldest > c.settled && g.now-oldest < peerStale {
+	if c.spread > 1 && oldest > c.settled {
 		c.level, c.settled = c.part*c.whole, oldest
 	}
 }
@@ -720,8 +722,8 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. Its part of what all gateways get done follows its demand, so
-// that one with little flow is not kept closed by that. A few may always be out, to find out that a jam is over.
+// servers can do, and closes when they jam. A gateway's part of what all get done follows its demand, so
+// that little flow keeps none closed. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
 	open, n := 1.0, 0.0
 	for _, s := range g.order {
