--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,9 +151,7 @@
 	case AttemptEnded:
 		g.ended(e)
 	case ClientGone:
-		if r := g.requests[e.ID]; r != nil {
-			g.finish(r)
-		}
+		g.finish(g.requests[e.ID])
 	case TimerFired:
 		g.timer(e.Token)
 	case PeerMessage:
@@ -258,14 +256,16 @@
 			}
 		}
 	}
-	if c.part = even; g.now-oldest >= peerStale {
+	c.part = even
+	if g.now-oldest >= peerStale || all == 0 {
 		return // who is not heard may ask as much: the even slice alone
 	}
-	if all > 0 {
-		c.part = max(even, own/all)
-	}
+	c.part = max(even, own/all)
 	if c.spread > 1 && oldest > c.settled {
-		c.level, c.settled = c.part*c.whole, oldest
+		if c.settled = oldest; all <= c.plan.Rate {
+			c.level = 0 // else all contend for what leaks: each takes its part alone
+		}
+		c.level = max(c.level, c.part*c.whole)
 	}
 }
 
@@ -274,7 +274,8 @@
 	g.leak(c)
 	c.asked.add(g.now, r.units)
 	if c.askedSum += r.units; c.askedSum-c.askedTold > askedStep*c.plan.Burst {
-		g.tellSoon(c) // what was sent on is told at once, what was only asked by the step
+		c.askedTold = c.askedSum
+		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
 	}
 	if c.plan.Rate > 0 && c.level+c.part*r.units > c.part*c.plan.Burst {
 		return false
@@ -294,7 +295,7 @@
 	c.level += units
 	c.whole += units
 	c.usedSum += units
-	g.tellSoon(c)
+	g.tellSoon(c, 0, len(g.peers))
 }
 
 // ---- Sharing.
@@ -336,9 +337,9 @@
 	return time.Duration(float64(time.Second) / max(perS, 1))
 }
 
-func (g *Gateway) tellSoon(c *customer) {
-	c.askedTold = c.askedSum
-	for i := range g.peers {
+// tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
+func (g *Gateway) tellSoon(c *customer, from, to int) {
+	for i := from; i < to; i++ {
 		if g.cfg.Limits.Peers && i != g.cfg.Rank && g.inSet(c, i) && !c.queued[i] {
 			c.queued[i] = true
 			g.peers[i].queue = append(g.peers[i].queue, c)
@@ -411,10 +412,7 @@
 	p.younger = p.known
 	for _, c := range g.queue {
 		c.told[i].have = false
-		if g.inSet(c, i) && !c.queued[i] {
-			c.queued[i] = true
-			p.queue = append(p.queue, c)
-		}
+		g.tellSoon(c, i, i+1)
 	}
 }
 
@@ -748,9 +746,6 @@
 // shed decides whether the wait is too long for what the request is worth.
 func (g *Gateway) shed(r *request, cost float64) bool {
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
-	if g.value == 0 {
-		g.value = value
-	}
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
 	return g.pressed() > f || cost > shedTo*(r.until-g.now).Seconds()
@@ -909,6 +904,9 @@
 
 // finish ends a request; what is still out is called off.
 func (g *Gateway) finish(r *request) {
+	if r == nil {
+		return
+	}
 	r.finished = true
 	for _, a := range r.attempts {
 		if !a.over && g.cfg.Limits.Cancel && !r.streaming {
