--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,7 +63,7 @@
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	shedFrom    = 0.4  // of the cap on open work, where the least worth work is shed
+	shedFrom    = 0.1  // of the cap on open work, where the least worth work is shed
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
