--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,15 +55,15 @@
 
 // Attempts.
 const (
-	ghostFor    = 3 * time.Second      // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.9                  // of the shortest aim: time of an answer that open work is capped to
-	openLeast   = 3.0                  // attempts out a server, of all gateways, that are always allowed
-	aimMargin   = 6 * time.Millisecond // an answer must be back at the client within the aim
-	overdueX    = 4.0                  // times its estimate: an attempt is overdue
+	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
+	waitPart    = 0.9                     // of the shortest aim: time of an answer that open work is capped to
+	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
+	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
+	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	shedFrom    = 0.25  // of the cap on open work, where the least worth work is shed
+	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
