--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,7 +43,6 @@
 	slowMemory   = 2 * time.Second // slowness fades without answers: the unused get another look
 	errGain      = 0.15            // gain of a server's share of errors
 	errEject     = 0.3             // share of errors, beyond twice the fleet's, at which a server is ejected
-	silentEject  = 2               // overdue attempts in a row without any answer that eject a server
 	ejectFor     = 2 * time.Second // first ejection; doubled each time ...
 	ejectMost    = 8 * time.Second // ... up to this
 	ejectPart    = 0.34            // of the servers may be ejected at once
@@ -56,7 +55,7 @@
 // Attempts.
 const (
 	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.9                     // of the shortest aim: time of an answer that open work is capped to
+	waitPart    = 0.9                     // work that nobody waits for counts as load for so long
 	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
@@ -465,7 +464,6 @@
 	ghosts       []time.Duration // when the attempts were sent that ended unanswered and may still run
 	errs         float64
 	sends        rate
-	silent       int
 	lastGood     time.Duration
 	coldUntil    time.Duration
 	budget       float64 // cold budget, in requests
@@ -505,7 +503,7 @@
 	}
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, 0, g.now
-		s.slow, s.errs, s.silent, s.ejected, s.trials, s.ejections = 1, 0, 0, 0, 0, 0
+		s.slow, s.errs, s.ejected, s.trials, s.ejections = 1, 0, 0, 0, 0
 	}
 	s.Server = e
 }
@@ -595,7 +593,7 @@
 
 // answered notes that a server answers at all.
 func (g *Gateway) answered(s *server) {
-	s.silent, s.lastGood = 0, g.now
+	s.lastGood = g.now
 }
 
 // learnTime takes the time of an answer, or of one that did not come in that time.
@@ -610,8 +608,9 @@
 	}
 }
 
-// failed notes an error, and ejects the server if it has many more than the fleet: a fault that all share
-// ejects nobody.
+// failed notes an error, or that no answer came in time, and ejects the server if it has many more than the
+// fleet. It guards against servers that fail quickly and so look idle, that went silent, or that a cut link
+// hides; a fault that all share ejects nobody. It could harm a server that only costly requests went to.
 func (g *Gateway) failed(s *server) {
 	s.errs += errGain * (1 - s.errs)
 	if s.trials > 0 {
@@ -637,7 +636,7 @@
 	}
 	s.ejected = g.now + min(ejectMost, ejectFor<<min(s.ejections, 4))
 	s.ejections++
-	s.trials, s.errs, s.silent = trialsNeeded, 0, 0
+	s.trials, s.errs = trialsNeeded, 0
 }
 
 func (g *Gateway) good(s *server) {
@@ -787,9 +786,7 @@
 	if s.lastGood > a.at {
 		return
 	}
-	if s.silent++; s.silent >= silentEject || s.trials > 0 {
-		g.eject(s)
-	}
+	g.failed(s)
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
 	}
@@ -868,6 +865,9 @@
 	case TimedOut, Cancelled:
 		g.learnTime(s, r.class, e.Took, false)
 		s.ghosts = append(s.ghosts, a.at)
+		if e.Outcome == TimedOut {
+			g.failed(s)
+		}
 	}
 }
 
