--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,7 +55,7 @@
 // Attempts.
 const (
 	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.9                     // work that nobody waits for counts as load for so long
+	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
 	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
