--- a/decide/decide.go
+++ b/decide/decide.go
@@ -722,7 +722,7 @@
 // servers can do, and closes when they jam. A gateway's part of what all get done follows its demand, so
 // that little flow keeps none closed. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
-	open, n := 1.0, 0.0
+	open, n := 0.0, 0.0
 	for _, s := range g.order {
 		if s.State == Serving {
 			open += g.load(s)
