--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,13 +15,12 @@
 
 // Quota.
 const (
-	partMemory    = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
-	partPrior     = 0.05            // seconds of the even slice mixed in: steadies rare askers
-	startLevel    = 0.5             // of the mark: level after a start, as the past is unknown
-	peerStale     = 1 * time.Second // a peer not heard for this long no longer settles buckets
-	forgetAfter   = time.Minute     // idle customers are dropped; every bucket and store is as new by then
-	beyondPressed = 0.3             // of the cap on open work: servers are idle enough for requests beyond a quota
-	slackPart     = 0.9             // of the ceiling's slack is used: the rest is for rounding
+	partMemory  = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
+	partPrior   = 0.05            // seconds of the even slice mixed in: steadies rare askers
+	startLevel  = 0.5             // of the mark: level after a start, as the past is unknown
+	peerStale   = 1 * time.Second // a peer not heard for this long no longer settles buckets
+	forgetAfter = time.Minute     // idle customers are dropped; every bucket and store is as new by then
+	slackPart   = 0.9             // of the ceiling's slack is used: the rest is for rounding
 )
 
 // Sharing.
@@ -286,12 +285,6 @@
 	return true
 }
 
-// worthBeyond decides on a request beyond the quota: it goes on where the plan earns more by it than it costs
-// and the servers are idle enough for it to keep nobody waiting.
-func (g *Gateway) worthBeyond(c *customer) bool {
-	return c.plan.OverWorth > c.plan.OverCost && g.pressed() < beyondPressed
-}
-
 // underCeiling guards the rule on ceilings: this gateway's even slice of the store, empty at a start.
 func (c *customer) underCeiling(units float64) bool {
 	return c.plan.CeilingRate == 0 || c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= units
@@ -707,11 +700,7 @@
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
 	}
 	r.cust = c
-	over := !g.admit(c, r)
-	if over {
-		r.units = 0 // beyond the quota nothing is taken from it
-	}
-	if (over && !g.worthBeyond(c)) || !c.underCeiling(e.Units) {
+	if !g.admit(c, r) || !c.underCeiling(r.units) {
 		g.refuse(e.ID)
 		return
 	}
@@ -722,7 +711,7 @@
 		return
 	}
 	g.requests[e.ID] = r
-	c.store -= max(0, e.Units)
+	c.store -= r.units
 	g.charge(c, r.units)
 	g.budget = min(budgetMost, g.budget+budgetPart)
 	g.send(r, s)
@@ -755,7 +744,7 @@
 
 // shed decides whether the wait is too long for what the request is worth.
 func (g *Gateway) shed(r *request, cost float64) bool {
-	value := r.class.Worth * r.cust.plan.Price * max(0, r.Units) / max(r.class.base, 1e-6)
+	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
 	return g.pressed() > f || cost > shedTo*(r.until-g.now).Seconds()
@@ -835,7 +824,7 @@
 	a.server.out--
 	r.cust.open--
 	g.judge(r, a, e)
-	if e.TrueUnits > 0 && g.cfg.SettledLater && r.units > 0 {
+	if e.TrueUnits > 0 && g.cfg.SettledLater {
 		g.charge(r.cust, e.TrueUnits-r.units)
 		r.units = e.TrueUnits
 	}
@@ -848,7 +837,7 @@
 	}
 	if e.Outcome == Moot && len(r.attempts) == 1 {
 		g.charge(r.cust, -r.units) // nothing was sent, so the quota took nothing
-		r.cust.store += max(0, r.Units)
+		r.cust.store += r.units
 	}
 	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server)) {
 		return
