--- a/decide/decide.go
+++ b/decide/decide.go
@@ -730,15 +730,7 @@
 		}
 	}
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
-	done, wish := g.done.get(g.now)/seen, g.wish.get(g.now)/seen
-	all := wish
-	for _, p := range g.peers {
-		if p.known && g.now-p.heard < peerStale {
-			done += p.done
-			all += p.wish
-		}
-	}
-	mine := done * wish / max(all, 1) * waitPart * g.quickest
+	mine := g.done.get(g.now) / seen * waitPart * g.quickest
 	return open / max(mine, openLeast*n/float64(g.cfg.Gateways))
 }
 
