--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,8 +29,8 @@
 	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
 	maxMessage = 256                    // bytes of a message
-	msgVersion = "b"                    // messages that begin otherwise are not understood and dropped
-	msgHead    = 9                      // version; two digits each: epoch, number, answers, wishes
+	msgVersion = "c"                    // messages that begin otherwise are not understood and dropped
+	msgHead    = 5                      // version; two digits each: epoch, number
 	msgEntry   = 12                     // customer of six digits, plan, used of two, asked of two, level
 	levelSteps = 30.0                   // digits of a told level for a whole burst
 )
@@ -72,9 +72,8 @@
 type peer struct {
 	heard, sent       time.Duration
 	epoch, seq, mySeq int
-	done, wish        float64 // its answers, and requests that its quotas had room for, a second
-	known             bool    // heard since this gateway started
-	younger           bool    // it started after this gateway, so all of its totals are news
+	known             bool // heard since this gateway started
+	younger           bool // it started after this gateway, so all of its totals are news
 	queue             []*customer
 }
 
@@ -97,7 +96,7 @@
 	peers        []peer
 	epoch        int
 	budget       float64
-	done, wish   rate    // answers of all servers; requests that the quotas had room for
+	done         rate    // answers of all servers
 	quickest     float64 // shortest aim of a class, seconds
 	value        float64 // usual worth per unit of work of what is let in
 }
@@ -364,8 +363,6 @@
 	b.WriteString(msgVersion)
 	encode(&b, uint64(g.epoch), 2)
 	encode(&b, uint64(p.mySeq), 2)
-	encode(&b, uint64(min(4095, g.done.get(g.now))), 2)
-	encode(&b, uint64(min(4095, math.Ceil(g.wish.get(g.now)))), 2)
 	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
 	for _, c := range p.queue[:n] {
 		c.queued[i] = false
@@ -391,7 +388,7 @@
 		return
 	}
 	head, _ := decode(e.Text[1:msgHead])
-	epoch, seq := int(head>>36), int(head>>24&4095)
+	epoch, seq := int(head>>12), int(head&4095)
 	p := &g.peers[e.From]
 	if p.known && p.epoch == epoch && diff(p.seq, seq) <= 0 {
 		return
@@ -400,7 +397,6 @@
 		g.greet(e.From, p)
 	}
 	p.epoch, p.seq, p.known, p.heard = epoch, seq, true, g.now
-	p.done, p.wish = float64(head>>12&4095), float64(head&4095)
 	for s := e.Text[msgHead:]; s != ""; s = s[msgEntry:] {
 		g.learn(e.From, p, s[:msgEntry])
 	}
@@ -704,7 +700,6 @@
 		g.refuse(e.ID)
 		return
 	}
-	g.wish.add(g.now, 1)
 	s, cost := g.choose(r, nil)
 	if s == nil || g.shed(r, cost) {
 		g.refuse(e.ID)
@@ -719,8 +714,7 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. A gateway's part of what all get done follows its demand, so
-// that little flow keeps none closed. A few may always be out, to find out that a jam is over.
+// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
 	open, n := 0.0, 0.0
 	for _, s := range g.order {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -163,7 +163,6 @@
 	b.WriteString(msgVersion)
 	encode(&b, uint64(epoch), 2)
 	encode(&b, uint64(seq), 2)
-	encode(&b, 0, 4)
 	return b.String() + strings.Join(entries, "")
 }
 
