--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,12 +15,16 @@
 
 // Quota.
 const (
-	partMemory  = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
-	partPrior   = 0.05            // seconds of the even slice mixed in: steadies rare askers
-	startLevel  = 0.5             // of the mark: level after a start, as the past is unknown
-	peerStale   = 1 * time.Second // a peer not heard for this long no longer settles buckets
-	forgetAfter = time.Minute     // idle customers are dropped; every bucket and store is as new by then
-	slackPart   = 0.9             // of the ceiling's slack is used: the rest is for rounding
+	partMemory = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
+	partPrior  = 0.05            // seconds of the even slice mixed in: steadies rare askers
+	startLevel = 0.5             // of the mark: level after a start, as the past is unknown
+	peerStale  = 1 * time.Second // a peer not heard for this long no longer settles buckets
+	meterStale = 3 * time.Second // the meter is late; older totals say nothing
+
+	meterGrow, meterShrink = 1.02, 0.95 // of the factor on the part, a report
+
+	forgetAfter = time.Minute // idle customers are dropped; every bucket and store is as new by then
+	slackPart   = 0.9         // of the ceiling's slack is used: the rest is for rounding
 )
 
 // Sharing.
@@ -206,13 +210,16 @@
 	whole         float64       // of the bucket that all gateways together fill, as far as told
 	settled       time.Duration // the level follows what peers told up to then
 	asked         rate
-	usedSum       float64
-	askedSum      float64
-	askedTold     float64
-	told          []told
-	queued        []bool
-	open          int
-	store         float64 // units of this gateway's slice of the ceiling
+
+	usedSum, askedSum, askedTold float64
+
+	used            rate
+	metered, factor float64 // what the meter last told, units a second; factor on the part by it
+	meteredAt       time.Duration
+	told            []told
+	queued          []bool
+	open            int
+	store           float64 // units of this gateway's slice of the ceiling
 }
 
 func (g *Gateway) customer(key uint64, planNo int) *customer {
@@ -223,7 +230,7 @@
 	p := &g.cfg.Plans[planNo]
 	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
 		told: make([]told, g.cfg.Gateways), queued: make([]bool, g.cfg.Gateways)}
-	c.part = 1 / float64(c.spread)
+	c.part, c.factor = 1/float64(c.spread), 1
 	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
 	g.customers[key] = c
 	g.queue = append(g.queue, c)
@@ -256,7 +263,10 @@
 	}
 	c.part = even
 	if g.now-oldest >= peerStale || all == 0 {
-		return // who is not heard may ask as much: the even slice alone
+		if c.metered > 0 && g.now-c.meteredAt < meterStale {
+			c.part = max(even, min(1, c.factor*c.used.get(g.now)/c.metered))
+		}
+		return
 	}
 	c.part = max(even, own/all)
 	if c.spread > 1 && oldest > c.settled {
@@ -284,6 +294,15 @@
 	return true
 }
 
+// meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
+func (g *Gateway) meter(c *customer, percent int) {
+	c.metered, c.meteredAt = float64(percent-1)/100*c.plan.Rate, g.now
+	c.factor = min(1, c.factor*meterGrow)
+	if c.metered > c.plan.Rate {
+		c.factor *= meterShrink
+	}
+}
+
 // underCeiling guards the rule on ceilings: this gateway's even slice of the store, empty at a start.
 func (c *customer) underCeiling(units float64) bool {
 	return c.plan.CeilingRate == 0 || c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= units
@@ -293,6 +312,7 @@
 	c.level += units
 	c.whole += units
 	c.usedSum += units
+	c.used.add(g.now, units)
 	g.tellSoon(c, 0, len(g.peers))
 }
 
@@ -454,19 +474,17 @@
 
 type server struct {
 	Server
-	slow, outAvg float64 // times the usual time of a class; its usual load
-	slowAt       time.Duration
-	out          int
-	ghosts       []time.Duration // when the attempts were sent that ended unanswered and may still run
-	errs         float64
-	sends        rate
-	lastGood     time.Duration
-	coldUntil    time.Duration
-	budget       float64 // cold budget, in requests
-	budgetAt     time.Duration
-	ejected      time.Duration // until then
-	ejections    int
-	trials       int // good answers still wanted; 0: no trial
+	slow, outAvg       float64 // times the usual time of a class; its usual load
+	slowAt             time.Duration
+	out                int
+	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
+	errs               float64
+	sends              rate
+	lastGood, budgetAt time.Duration
+	budget             float64       // cold budget, in requests
+	coldUntil, ejected time.Duration // until then
+	ejections          int
+	trials             int // good answers still wanted; 0: no trial
 }
 
 func (g *Gateway) fleet(e FleetUpdate) {
@@ -814,6 +832,9 @@
 		g.charge(r.cust, e.TrueUnits-r.units)
 		r.units = e.TrueUnits
 	}
+	if e.Metered > 0 {
+		g.meter(r.cust, e.Metered)
+	}
 	if e.Done {
 		g.finish(r)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -718,3 +718,16 @@
 		}
 	})
 }
+
+func TestMeterDecidesThePartWherePeersAreSilent(t *testing.T) {
+	for metered, want := range map[int]float64{1 + 100: 0.9, 1 + 1000: 1.0 / 3, 0: 1.0 / 3} {
+		r := newRig(t, nil)
+		id, s := r.send("get", "wide")
+		r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: ms, Done: true, Metered: metered})
+		c := r.g.customers[shortKey("c")]
+		r.g.charge(c, 1800) // 900 units a second over the memory, of a rate of 1000
+		if r.g.leak(c); math.Abs(c.part-want) > 0.01 {
+			t.Errorf("told %d: part is %v, want %v", metered, c.part, want)
+		}
+	}
+}
