--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,7 +7,6 @@
 
 import (
 	"math"
-	"math/rand"
 	"slices"
 	"strings"
 	"time"
@@ -15,16 +14,15 @@
 
 // Quota.
 const (
-	partMemory = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
-	partPrior  = 0.05            // seconds of the even slice mixed in: steadies rare askers
-	startLevel = 0.5             // of the mark: level after a start, as the past is unknown
-	peerStale  = 1 * time.Second // a peer not heard for this long no longer settles buckets
-	meterStale = 3 * time.Second // the meter is late; older totals say nothing
-
-	meterGrow, meterShrink = 1.02, 0.95 // of the factor on the part, a report
-
-	forgetAfter = time.Minute // idle customers are dropped; every bucket and store is as new by then
-	slackPart   = 0.9         // of the ceiling's slack is used: the rest is for rounding
+	partMemory  = 2 * time.Second // memory of asked units: long against gaps, short against shifts of traffic
+	partPrior   = 0.05            // seconds of the even slice mixed in: steadies rare askers
+	startLevel  = 0.5             // of the mark: level after a start, as the past is unknown
+	peerStale   = 1 * time.Second // a peer not heard for this long no longer settles buckets
+	meterStale  = 3 * time.Second // the meter is late; older totals say nothing
+	meterGrow   = 1.02            // of the factor on the part, a report ...
+	meterShrink = 0.95            // ... while the metered total exceeds the rate
+	forgetAfter = time.Minute     // idle customers are dropped; every bucket and store is as new by then
+	slackPart   = 0.9             // of the ceiling's slack is used: the rest is for rounding
 )
 
 // Sharing.
@@ -32,11 +30,24 @@
 	intakePart = 0.8                    // of the stated intake is used by all peers together
 	askedStep  = 0.25                   // of the burst: asked units that are worth telling
 	quietBeat  = 400 * time.Millisecond // an idle peer still says that it lives
-	maxMessage = 256                    // bytes of a message
-	msgVersion = "c"                    // messages that begin otherwise are not understood and dropped
-	msgHead    = 5                      // version; two digits each: epoch, number
-	msgEntry   = 12                     // customer of six digits, plan, used of two, asked of two, level
-	levelSteps = 30.0                   // digits of a told level for a whole burst
+)
+
+// Homes, where the intake is too small for telling everyone.
+const (
+	meshPace   = 2.0                    // messages a second between any two: under it customers have homes
+	homes      = 2                      // of a customer; the second stands in for a silent first
+	askIntake  = 0.4                    // of the intake is for questions; beyond it refused ones wait longer
+	askFirst   = 30 * time.Millisecond  // wait for a home's word, until round trips were seen ...
+	askWaits   = 2.0                    // ... then so many times the usual one, and askLeast more
+	askLeast   = 12 * time.Millisecond  // a turn or two of either side
+	homeSilent = 1 * time.Second        // a home that twice gave no answer is not asked for so long
+	grantsKept = 3 * time.Second        // a home knows for so long what it granted
+	grantUse   = 100 * time.Millisecond // a grant under a ceiling is used within this, which the slack bears
+	waitMost   = 30 * time.Second       // longest wait that a home puts on those it refuses
+	waitLeast  = 0.1                    // seconds that refused ones wait where questions fill the intake ...
+	waitGrow   = 1.15                   // ... and longer with each ...
+	waitShrink = 0.9                    // ... and less where they don't
+	homeBeat   = 100 * time.Millisecond // pace of the upkeep
 )
 
 // Servers.
@@ -53,7 +64,7 @@
 	trialsNeeded = 3               // good answers, one at a time, that end an ejection
 	crossZone    = 1.03            // factor on the estimate of a server in another zone
 	coldMargin   = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
-	sendMemory   = 5 * time.Second // memory of the sends to a server
+	lookAt       = 16              // servers, from a random one on, are looked at for a request
 )
 
 // Attempts.
@@ -66,6 +77,7 @@
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
+	openFree    = 2.0  // attempts out that press nobody: one alone says nothing
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
@@ -73,65 +85,6 @@
 
 const beatToken = 1 // timer of the beat; tokens above it name attempts
 
-type peer struct {
-	heard, sent       time.Duration
-	epoch, seq, mySeq int
-	known             bool // heard since this gateway started
-	younger           bool // it started after this gateway, so all of its totals are news
-	queue             []*customer
-}
-
-// Gateway decides for one gateway. Make it with New.
-type Gateway struct {
-	cfg          Config
-	rng          *rand.Rand
-	now, started time.Duration
-	begun        bool
-	out          []Action
-	classes      map[string]*class
-	plans        map[string]int
-	servers      map[string]*server
-	order        []*server // by ID
-	requests     map[string]*request
-	timers       map[uint64]attemptRef
-	nextToken    uint64
-	customers    map[uint64]*customer
-	queue        []*customer // customers in the order of first sight, to sweep the idle
-	peers        []peer
-	epoch        int
-	budget       float64
-	done         rate    // answers of all servers
-	quickest     float64 // shortest aim of a class, seconds
-	value        float64 // usual worth per unit of work of what is let in
-}
-
-type class struct {
-	Class
-	base float64 // usual seconds of an answer
-}
-
-// New returns a gateway that knows only its configuration. The seed feeds its random choices.
-func New(cfg Config, seed int64) (*Gateway, error) {
-	if err := cfg.Validate(); err != nil {
-		return nil, err
-	}
-	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
-		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
-		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
-		peers: make([]peer, cfg.Gateways), budget: budgetMost}
-	for _, k := range cfg.Classes {
-		g.classes[k.Name] = &class{Class: k, base: firstGuess * k.Aim.Seconds()}
-		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
-			g.quickest = k.Aim.Seconds()
-		}
-	}
-	for i, p := range cfg.Plans {
-		g.plans[p.Name] = i
-	}
-	g.epoch = g.rng.Intn(64 * 64)
-	return g, nil
-}
-
 // Handle takes one event at the time now and returns what is to be done, in order.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.out = nil
@@ -148,7 +101,7 @@
 	case AnswerStarted:
 		if a := g.attempt(e.ID, e.Attempt); a != nil {
 			g.requests[e.ID].streaming = true
-			g.answered(a.server)
+			a.server.lastGood = g.now
 		}
 	case AttemptEnded:
 		g.ended(e)
@@ -171,77 +124,15 @@
 	}
 	ref, ok := g.timers[token]
 	delete(g.timers, token)
-	if a := g.attempt(ref.id, ref.n); ok && a != nil && !a.over {
-		g.overdue(g.requests[ref.id], a)
+	if r := g.requests[ref.id]; ok && ref.n < 0 && r != nil && r.asking {
+		g.unheard(r, ref.due)
+	} else if a := g.attempt(ref.id, ref.n); ok && a != nil && !a.over {
+		g.overdue(r, a)
 	}
 }
 
 // ---- Quota.
 
-// rate is a sum of units that fades with partMemory; its value is in units a second.
-type rate struct {
-	v  float64
-	at time.Duration
-}
-
-func (r *rate) add(now time.Duration, units float64) {
-	r.v = r.get(now) + units/partMemory.Seconds()
-	r.at = now
-}
-
-func (r *rate) get(now time.Duration) float64 {
-	return r.v * math.Exp(-(now-r.at).Seconds()/partMemory.Seconds())
-}
-
-// told is what one peer last said of a customer.
-type told struct {
-	have        bool
-	used, asked int
-	rate        rate
-}
-
-type customer struct {
-	key           uint64
-	plan          *Plan
-	planNo        int
-	first, spread int
-	at, last      time.Duration // of the last leak, of the last use
-	level, part   float64       // of this gateway's bucket; its part of rate and mark
-	whole         float64       // of the bucket that all gateways together fill, as far as told
-	settled       time.Duration // the level follows what peers told up to then
-	asked         rate
-
-	usedSum, askedSum, askedTold float64
-
-	used            rate
-	metered, factor float64 // what the meter last told, units a second; factor on the part by it
-	meteredAt       time.Duration
-	told            []told
-	queued          []bool
-	open            int
-	store           float64 // units of this gateway's slice of the ceiling
-}
-
-func (g *Gateway) customer(key uint64, planNo int) *customer {
-	if c := g.customers[key]; c != nil {
-		c.last = g.now
-		return c
-	}
-	p := &g.cfg.Plans[planNo]
-	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
-		told: make([]told, g.cfg.Gateways), queued: make([]bool, g.cfg.Gateways)}
-	c.part, c.factor = 1/float64(c.spread), 1
-	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
-	g.customers[key] = c
-	g.queue = append(g.queue, c)
-	return c
-}
-
-// inSet reports whether a customer's requests may come in through the gateway of that number.
-func (g *Gateway) inSet(c *customer, rank int) bool {
-	return (rank-c.first+g.cfg.Gateways)%g.cfg.Gateways < c.spread
-}
-
 // leak brings a customer's buckets, store and part up to now.
 func (g *Gateway) leak(c *customer) {
 	dt := (g.now - c.at).Seconds()
@@ -249,8 +140,16 @@
 	c.level = max(0, c.level-c.part*c.plan.Rate*dt)
 	c.whole = max(0, c.whole-c.plan.Rate*dt)
 	even := 1 / float64(c.spread)
-	c.store = min(c.store+c.plan.CeilingRate*even*dt, c.plan.CeilingBurst*even)
+	slice := even
+	if !g.mesh {
+		slice = 1.0 / homes
+	}
+	c.store = min(c.store+c.plan.CeilingRate*slice*dt, c.plan.CeilingBurst*slice)
 	own := c.asked.get(g.now) + partPrior*c.plan.Rate*even
+	if !g.mesh && g.now-c.toldAt < partMemory {
+		c.part = min(1, max(even, own/max(own, c.asksAll)))
+		return
+	}
 	all := own
 	oldest := g.now
 	for i := range g.peers {
@@ -262,7 +161,7 @@
 		}
 	}
 	c.part = even
-	if g.now-oldest >= peerStale || all == 0 {
+	if g.now-oldest >= peerStale || all == 0 || (len(g.peers) == 0 && c.spread > 1) {
 		if c.metered > 0 && g.now-c.meteredAt < meterStale {
 			c.part = max(even, min(1, c.factor*c.used.get(g.now)/c.metered))
 		}
@@ -277,7 +176,7 @@
 	}
 }
 
-// admit decides whether the quota has room and, if so, charges the request.
+// admit decides whether the quota has room.
 func (g *Gateway) admit(c *customer, r *request) bool {
 	g.leak(c)
 	c.asked.add(g.now, r.units)
@@ -285,13 +184,12 @@
 		c.askedTold = c.askedSum
 		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
 	}
-	if c.plan.Rate > 0 && c.level+c.part*r.units > c.part*c.plan.Burst {
-		return false
-	}
-	if c.plan.MaxOpen > 0 && float64(c.open) >= math.Ceil(c.part*float64(c.plan.MaxOpen)) {
-		return false
-	}
-	return true
+	return c.room(r.units)
+}
+
+func (c *customer) room(units float64) bool {
+	return (c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst) &&
+		(c.plan.MaxOpen == 0 || float64(c.open) < math.Ceil(c.part*float64(c.plan.MaxOpen)))
 }
 
 // meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
@@ -310,7 +208,9 @@
 
 func (g *Gateway) charge(c *customer, units float64) {
 	c.level += units
-	c.whole += units
+	if g.mesh {
+		c.whole += units
+	}
 	c.usedSum += units
 	c.used.add(g.now, units)
 	g.tellSoon(c, 0, len(g.peers))
@@ -318,39 +218,15 @@
 
 // ---- Sharing.
 
-const digits = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_"
-
-func encode(b *strings.Builder, v uint64, n int) {
-	for i := n - 1; i >= 0; i-- {
-		b.WriteByte(digits[v>>(6*i)&63])
-	}
+// tellsAll reports whether the intake lets every gateway tell every other often enough.
+func (g *Gateway) tellsAll() bool {
+	return !g.cfg.Limits.Peers || intakePart*g.cfg.PeerIntake >= meshPace*float64(g.cfg.Gateways-1)
 }
 
-// decode reads digits; ok is false if there are others.
-func decode(s string) (v uint64, ok bool) {
-	for i := 0; i < len(s); i++ {
-		d := strings.IndexByte(digits, s[i])
-		if d < 0 {
-			return 0, false
-		}
-		v = v<<6 | uint64(d)
-	}
-	return v, true
-}
-
-// shortKey names a customer in messages: 36 bits of an FNV-1a hash.
-func shortKey(id string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(id); i++ {
-		h = (h ^ uint64(id[i])) * 1099511628211
-	}
-	return (h ^ h>>36) & (1<<36 - 1)
-}
-
-// diff is the step from one two-digit total to a later one; totals wrap and may also fall a little.
-func diff(from, to int) float64 { return float64((to-from+2048+4096)%4096 - 2048) }
-
 func (g *Gateway) beatEvery() time.Duration {
+	if !g.mesh {
+		return homeBeat
+	}
 	perS := intakePart * g.cfg.PeerIntake / float64(max(1, g.cfg.Gateways-1))
 	return time.Duration(float64(time.Second) / max(perS, 1))
 }
@@ -358,7 +234,7 @@
 // tellSoon queues what is known of a customer for the gateways of those numbers that are in its set.
 func (g *Gateway) tellSoon(c *customer, from, to int) {
 	for i := from; i < to; i++ {
-		if g.cfg.Limits.Peers && i != g.cfg.Rank && g.inSet(c, i) && !c.queued[i] {
+		if i != g.cfg.Rank && g.inSet(c, i) && !c.queued[i] {
 			c.queued[i] = true
 			g.peers[i].queue = append(g.peers[i].queue, c)
 		}
@@ -369,29 +245,24 @@
 	g.do(SetTimer{g.now + g.beatEvery(), beatToken})
 	for i := range g.peers {
 		p := &g.peers[i]
-		if i == g.cfg.Rank || !g.cfg.Limits.Peers || (len(p.queue) == 0 && g.now-p.sent < quietBeat) {
+		if i == g.cfg.Rank || (len(p.queue) == 0 && g.now-p.sent < quietBeat) {
 			continue
 		}
 		p.sent, p.mySeq = g.now, (p.mySeq+1)%4096
 		g.do(Tell{i, g.message(i, p)})
 	}
+	g.survey()
 	g.sweep()
 }
 
 func (g *Gateway) message(i int, p *peer) string {
 	var b strings.Builder
-	b.WriteString(msgVersion)
-	encode(&b, uint64(g.epoch), 2)
-	encode(&b, uint64(p.mySeq), 2)
+	encodeHead(&b, g.epoch, p.mySeq)
 	n := min(len(p.queue), (maxMessage-msgHead)/msgEntry)
 	for _, c := range p.queue[:n] {
 		c.queued[i] = false
 		g.leak(c)
-		encode(&b, c.key, 6)
-		encode(&b, uint64(c.planNo), 1)
-		encode(&b, uint64(int64(math.Round(c.usedSum)))&4095, 2)
-		encode(&b, uint64(int64(math.Round(c.askedSum)))&4095, 2)
-		encode(&b, uint64(min(63, math.Round(levelSteps*c.whole/max(c.plan.Burst, 1)))), 1)
+		c.encode(&b)
 	}
 	p.queue = append([]*customer(nil), p.queue[n:]...)
 	return b.String()
@@ -400,15 +271,17 @@
 // heard takes a peer's message. Totals make lost and repeated messages harmless, the number makes late
 // ones so, the epoch a restart of the peer.
 func (g *Gateway) heard(e PeerMessage) {
-	if e.From < 0 || e.From >= len(g.peers) || e.From == g.cfg.Rank || len(e.Text) < msgHead ||
-		e.Text[:1] != msgVersion || (len(e.Text)-msgHead)%msgEntry != 0 {
+	epoch, seq, ok := parseHead(e.Text)
+	if e.From < 0 || e.From >= g.cfg.Gateways || e.From == g.cfg.Rank {
 		return
 	}
-	if _, ok := decode(e.Text[1:]); !ok {
+	if !g.mesh {
+		g.word(e.From, e.Text)
+		return
+	}
+	if !ok || len(g.peers) == 0 {
 		return
 	}
-	head, _ := decode(e.Text[1:msgHead])
-	epoch, seq := int(head>>12), int(head&4095)
 	p := &g.peers[e.From]
 	if p.known && p.epoch == epoch && diff(p.seq, seq) <= 0 {
 		return
@@ -432,15 +305,11 @@
 }
 
 func (g *Gateway) learn(from int, p *peer, s string) {
-	key, _ := decode(s[:6])
-	planNo, _ := decode(s[6:7])
-	used, _ := decode(s[7:9])
-	asked, _ := decode(s[9:11])
-	level, _ := decode(s[11:])
-	if int(planNo) >= len(g.cfg.Plans) {
+	key, planNo, used, asked, level := parseEntry(s)
+	if planNo >= len(g.cfg.Plans) {
 		return
 	}
-	c := g.customer(key, int(planNo))
+	c := g.customer(key, planNo)
 	g.leak(c)
 	t := &c.told[from]
 	if !t.have {
@@ -448,45 +317,170 @@
 		if p.younger {
 			t.used, t.asked = 0, 0
 		} else {
-			t.used, t.asked = int(used), int(asked)
-			c.whole = max(c.whole, float64(level)/levelSteps*c.plan.Burst)
+			t.used, t.asked = used, asked
+			c.whole = max(c.whole, level*c.plan.Burst)
 		}
 	}
-	c.whole = max(0, c.whole+diff(t.used, int(used)))
-	t.rate.add(g.now, max(0, diff(t.asked, int(asked))))
-	t.used, t.asked = int(used), int(asked)
+	c.whole = max(0, c.whole+diff(t.used, used))
+	t.rate.add(g.now, max(0, diff(t.asked, asked)))
+	t.used, t.asked = used, asked
+}
+
+// ---- Homes. Where the intake is too small for telling everyone, a gateway's part of a mark is less than one
+// request and what it last heard is older than the bucket. There the bucket of the whole customer stands at
+// its home, and a request waits for the home's word, a few turns, before this gateway's bucket decides.
+
+// home is the number of the nth gateway that keeps the customer's bucket, the same at every gateway.
+func (g *Gateway) home(key uint64, n int) int {
+	first := int(key % uint64(g.cfg.Gateways))
+	if n == 0 {
+		return first
+	}
+	return (first + 1 + int(key>>18%uint64(g.cfg.Gateways-1))) % g.cfg.Gateways
 }
 
-// sweep drops customers that have been idle for long, a few at each beat.
-func (g *Gateway) sweep() {
-	for n := 0; n < 4 && len(g.queue) > 0; n++ {
-		c := g.queue[0]
-		g.queue = g.queue[1:]
-		if c.open == 0 && g.now-c.last > forgetAfter && !slices.Contains(c.queued, true) {
-			delete(g.customers, c.key)
+// ask gets the home's word on a request. Each home is asked twice, as words may be lost; one that was silent
+// is left out for a while. Without any word the gateway's own bucket decides, but nothing passes a ceiling.
+func (g *Gateway) ask(r *request) {
+	c := r.cust
+	for ; r.asked < 2*homes && g.now < r.until; r.asked++ {
+		i := g.home(c.key, r.asked/2)
+		if i == g.cfg.Rank {
+			ok, _ := g.grant(c, i, r.no, r.units)
+			r.granted = i
+			g.decide(r, ok)
+			return
+		}
+		if g.silent[i] > g.now {
 			continue
 		}
-		g.queue = append(g.queue, c)
+		r.asked++
+		r.asking, r.askedAt = true, g.now
+		g.asks[r.no] = r
+		g.tell(i, 'a', c, r.no, r.units)
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast+time.Duration(askWaits*float64(g.trip))))
+		return
 	}
+	r.asking = false
+	g.leak(c)
+	g.decide(r, c.plan.CeilingRate == 0 && c.room(r.units))
 }
 
-// ---- Choice and health of servers.
+// unheard takes that a home gave no answer in time. A gateway that itself stood still waits a little more:
+// the answer may be among all that it finds now.
+func (g *Gateway) unheard(r *request, due time.Duration) {
+	if g.now-due > askLeast && g.now < r.until {
+		g.wake(r.ID, -1, min(r.until, g.now+askLeast))
+		return
+	}
+	if r.asked%2 == 0 {
+		g.silent[g.home(r.cust.key, r.asked/2-1)] = g.now + homeSilent
+	}
+	delete(g.asks, r.no)
+	g.ask(r)
+}
+
+// grant decides as a home, by the bucket of the whole customer, and tells how long those refused may wait.
+// It guards quota, cap on attempts out and ceiling; a question that comes twice gets the same answer once.
+func (g *Gateway) grant(c *customer, from int, no uint64, units float64) (ok bool, wait float64) {
+	g.leak(c)
+	out := 0
+	for i := range c.grants {
+		d := &c.grants[i]
+		if d.from == from && d.no == no {
+			return d.ok, c.wait
+		}
+		d.out = d.out && (g.now-d.at).Seconds() < g.quickest
+		out += b2i(d.out)
+	}
+	c.grants = slices.DeleteFunc(c.grants, func(d grant) bool { return g.now-d.at > grantsKept })
+	c.fleet.add(g.now, units)
+	ok = (c.plan.Rate == 0 || c.whole+units <= c.plan.Burst) &&
+		(c.plan.MaxOpen == 0 || out < c.plan.MaxOpen) && (c.plan.CeilingRate == 0 || c.store >= units)
+	if ok {
+		c.whole += units
+		c.store -= units
+		c.wait *= waitShrink
+	} else if g.askRate.get(g.now) > askIntake*g.cfg.PeerIntake {
+		c.wait = min(waitMost.Seconds(), max(c.wait, waitLeast)*waitGrow)
+	} else {
+		c.wait *= waitShrink
+	}
+	c.grants = append(c.grants, grant{from, no, g.now, ok, ok && c.plan.MaxOpen > 0})
+	return ok, c.wait
+}
+
+// tellEnd settles a request with the home that granted it: true units, and that its attempt is over.
+func (g *Gateway) tellEnd(r *request, more float64) {
+	if r.granted < 0 || (more == 0 && r.cust.plan.MaxOpen == 0) {
+		return
+	}
+	if r.granted == g.cfg.Rank {
+		g.settle(r.cust, g.cfg.Rank, r.no, more)
+	} else {
+		g.tell(r.granted, 'd', r.cust, r.no, more)
+	}
+}
 
-type server struct {
-	Server
-	slow, outAvg       float64 // times the usual time of a class; its usual load
-	slowAt             time.Duration
-	out                int
-	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
-	errs               float64
-	sends              rate
-	lastGood, budgetAt time.Duration
-	budget             float64       // cold budget, in requests
-	coldUntil, ejected time.Duration // until then
-	ejections          int
-	trials             int // good answers still wanted; 0: no trial
+func (g *Gateway) settle(c *customer, from int, no uint64, more float64) {
+	for i := range c.grants {
+		if d := &c.grants[i]; d.from == from && d.no == no && d.ok {
+			g.leak(c)
+			c.whole = max(0, c.whole+more)
+			d.out = false
+		}
+	}
 }
 
+// word takes a word of another gateway. What is malformed, unknown or comes to the wrong home is dropped.
+func (g *Gateway) word(from int, text string) {
+	w, ok := parseWord(text)
+	if !ok || w.plan >= len(g.cfg.Plans) {
+		return
+	}
+	delete(g.silent, from)
+	mine := g.home(w.key, 0) == g.cfg.Rank || g.home(w.key, 1) == g.cfg.Rank
+	switch {
+	case w.kind == 'a' && w.n == 1 && w.v[0] >= 0 && mine:
+		g.askRate.add(g.now, 1)
+		c := g.customer(w.key, w.plan)
+		ok, wait := g.grant(c, from, w.no, w.v[0])
+		g.tell(from, 'r', c, w.no, float64(b2i(ok)), c.whole, c.fleet.get(g.now), wait)
+	case w.kind == 'd' && w.n == 1 && mine:
+		g.settle(g.customer(w.key, w.plan), from, w.no, w.v[0])
+	case w.kind == 'r' && w.n == 4:
+		g.answer(from, w)
+	}
+}
+
+// answer takes the home's word: it settles part and level, and then the bucket decides.
+func (g *Gateway) answer(from int, w word) {
+	r := g.asks[w.no]
+	if r == nil || r.cust.key != w.key || !r.asking {
+		return
+	}
+	ok, whole := w.v[0] > 0, w.v[1]
+	delete(g.asks, w.no)
+	g.trip += time.Duration(0.1 * float64(g.now-r.askedAt-g.trip))
+	r.asking, r.granted = false, -1
+	c := r.cust
+	if c.plan.CeilingRate > 0 && g.now-r.askedAt > grantUse {
+		ok = false
+	}
+	c.asksAll, c.toldAt = w.v[2], g.now
+	g.leak(c)
+	c.level = c.part * whole
+	if ok {
+		r.granted = from
+	} else {
+		leaks := max(0, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
+		c.shut = g.now + time.Duration(max(w.v[3], min(leaks, 1))*float64(time.Second))
+	}
+	g.decide(r, ok)
+}
+
+// ---- Choice and health of servers.
+
 func (g *Gateway) fleet(e FleetUpdate) {
 	if e.Kind == FleetFailed {
 		return
@@ -503,20 +497,13 @@
 			}
 		}
 	}
+	g.survey()
 }
 
 func (g *Gateway) listed(e Server, stale bool) {
-	s := g.servers[e.ID]
-	if s == nil {
-		s = &server{slow: 1, outAvg: 0.5}
-		g.servers[e.ID] = s
-		at, _ := slices.BinarySearchFunc(g.order, e.ID, func(s *server, id string) int {
-			return strings.Compare(s.ID, id)
-		})
-		g.order = slices.Insert(g.order, at, s)
-	}
+	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
-		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, 0, g.now
+		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
 		s.slow, s.errs, s.ejected, s.trials, s.ejections = 1, 0, 0, 0, 0
 	}
 	s.Server = e
@@ -538,6 +525,7 @@
 func (g *Gateway) load(s *server) float64 {
 	for len(s.ghosts) > 0 && g.now-s.ghosts[0] > ghostFor {
 		s.ghosts = s.ghosts[1:]
+		g.all.open--
 	}
 	return float64(s.out + len(s.ghosts))
 }
@@ -546,23 +534,30 @@
 // gateway sends a usual server is its own share of the fleet's traffic, so that all gateways together stay
 // within the multiple without agreement.
 func (g *Gateway) coldRate(s *server) float64 {
-	warm := g.mean(func(o *server) bool { return o.coldUntil <= g.now },
-		func(o *server) float64 { return o.sends.get(g.now) })
+	warm := g.all.sends / max(g.all.warm, 1)
 	f := g.cfg.Safety.ColdFrom
 	age := 1 - (s.coldUntil-g.now).Seconds()/g.cfg.Safety.ColdFor.Seconds()
 	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * warm
 }
 
-// mean is the mean of a figure over the serving servers that count.
-func (g *Gateway) mean(counts func(*server) bool, figure func(*server) float64) float64 {
-	sum, n := 0.0, 0
+func (g *Gateway) survey() {
+	all := survey{}
 	for _, o := range g.order {
-		if o.State == Serving && counts(o) {
-			sum += figure(o)
-			n++
+		if o.State != Serving {
+			continue
+		}
+		all.serving++
+		all.errs += o.errs
+		all.open += g.load(o)
+		if o.ejected > g.now || o.trials > 0 {
+			all.ejected++
+		}
+		if o.coldUntil <= g.now {
+			all.warm++
+			all.sends += o.sends.get(g.now)
 		}
 	}
-	return sum / float64(max(n, 1))
+	g.all = all
 }
 
 func (g *Gateway) cold(s *server) bool {
@@ -584,7 +579,9 @@
 
 // choose takes the server with the least estimate; last is the one that failed the request before.
 func (g *Gateway) choose(r *request, last *server) (best *server, cost float64) {
-	for _, s := range g.order {
+	n := min(len(g.order), lookAt)
+	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < n; i++ {
+		s := g.order[(from+i)%len(g.order)]
 		if !g.usable(s, r) {
 			continue
 		}
@@ -605,11 +602,6 @@
 	return best, cost
 }
 
-// answered notes that a server answers at all.
-func (g *Gateway) answered(s *server) {
-	s.lastGood = g.now
-}
-
 // learnTime takes the time of an answer, or of one that did not come in that time.
 func (g *Gateway) learnTime(s *server, k *class, took time.Duration, ok bool) {
 	x := took.Seconds() / max(k.base, 1e-6)
@@ -626,12 +618,13 @@
 // fleet. It guards against servers that fail quickly and so look idle, that went silent, or that a cut link
 // hides; a fault that all share ejects nobody. It could harm a server that only costly requests went to.
 func (g *Gateway) failed(s *server) {
+	g.all.errs += errGain * (1 - s.errs)
 	s.errs += errGain * (1 - s.errs)
 	if s.trials > 0 {
 		g.eject(s)
 		return
 	}
-	others := g.mean(func(o *server) bool { return o != s }, func(o *server) float64 { return o.errs })
+	others := max(0, g.all.errs-s.errs) / max(1, g.all.serving-1)
 	if s.errs > errEject+2*others {
 		g.eject(s)
 	}
@@ -639,22 +632,20 @@
 
 // eject takes the server out for a while, unless too many are: that is no outlier.
 func (g *Gateway) eject(s *server) {
-	out := g.mean(func(*server) bool { return true }, func(o *server) float64 {
-		if o == s || o.ejected > g.now || o.trials > 0 {
-			return 1
-		}
-		return 0
-	})
-	if s.ejected > g.now || out > ejectPart {
+	if s.ejected > g.now || (s.trials == 0 && g.all.ejected+1 > ejectPart*g.all.serving) {
 		return
 	}
+	if s.trials == 0 {
+		g.all.ejected++
+	}
 	s.ejected = g.now + min(ejectMost, ejectFor<<min(s.ejections, 4))
 	s.ejections++
 	s.trials, s.errs = trialsNeeded, 0
 }
 
 func (g *Gateway) good(s *server) {
-	g.answered(s)
+	s.lastGood = g.now
+	g.all.errs -= errGain * s.errs
 	s.errs -= errGain * s.errs
 	if s.trials > 0 {
 		if s.trials--; s.trials == 0 {
@@ -665,36 +656,6 @@
 
 // ---- Attempts and deadlines.
 
-type attempt struct {
-	server    *server
-	n         int
-	at        time.Duration
-	over, ran bool // ran: it may have run
-}
-
-type attemptRef struct {
-	id string
-	n  int
-}
-
-type request struct {
-	Request
-	class               *class
-	cust                *customer
-	units               float64
-	until               time.Duration // no use after this
-	attempts            []*attempt
-	out                 int
-	streaming, finished bool
-}
-
-func (g *Gateway) attempt(id string, n int) *attempt {
-	if r := g.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
-		return r.attempts[n]
-	}
-	return nil
-}
-
 func (g *Gateway) request(e Request) {
 	if g.requests[e.ID] != nil {
 		return
@@ -713,19 +674,36 @@
 		c.first, c.spread = e.First%g.cfg.Gateways, e.Spread
 		c.store = min(c.store, c.plan.CeilingBurst/float64(c.spread))
 	}
-	r.cust = c
-	if !g.admit(c, r) || !c.underCeiling(r.units) {
-		g.refuse(e.ID)
-		return
+	r.cust, r.granted = c, -1
+	g.requests[e.ID] = r
+	switch {
+	case g.mesh:
+		g.decide(r, g.admit(c, r) && c.underCeiling(r.units))
+	case c.shut > g.now:
+		c.asked.add(g.now, r.units)
+		g.decide(r, false)
+	default:
+		c.asked.add(g.now, r.units)
+		g.askNo = g.askNo%4095 + 1
+		r.no = g.askNo
+		g.ask(r)
+	}
+}
+
+// decide ends the wait of a request: it is sent on if the quota has room and the servers have.
+func (g *Gateway) decide(r *request, room bool) {
+	s, cost := (*server)(nil), 0.0
+	if room {
+		s, cost = g.choose(r, nil)
 	}
-	s, cost := g.choose(r, nil)
 	if s == nil || g.shed(r, cost) {
-		g.refuse(e.ID)
+		r.more = -r.units
+		g.refuse(r.ID)
+		g.finish(r)
 		return
 	}
-	g.requests[e.ID] = r
-	c.store -= r.units
-	g.charge(c, r.units)
+	r.cust.store -= r.units
+	g.charge(r.cust, r.units)
 	g.budget = min(budgetMost, g.budget+budgetPart)
 	g.send(r, s)
 }
@@ -734,16 +712,10 @@
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
 // servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
 func (g *Gateway) pressed() float64 {
-	open, n := 0.0, 0.0
-	for _, s := range g.order {
-		if s.State == Serving {
-			open += g.load(s)
-			n++
-		}
-	}
+	n := g.all.serving
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	return open / max(mine, openLeast*n/float64(g.cfg.Gateways))
+	return max(0, g.all.open-openFree) / max(mine, openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
@@ -773,12 +745,11 @@
 	}
 	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
 	s.out++
+	g.all.open++
 	s.sends.add(g.now, 1)
 	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
 	if g.now+wait < r.until {
-		g.timers[g.nextToken] = attemptRef{r.ID, a.n}
-		g.do(SetTimer{g.now + wait, g.nextToken})
-		g.nextToken++
+		g.wake(r.ID, a.n, g.now+wait)
 	}
 }
 
@@ -826,10 +797,12 @@
 	a.ran = !e.Outcome.neverRan()
 	r.out--
 	a.server.out--
+	g.all.open--
 	r.cust.open--
 	g.judge(r, a, e)
 	if e.TrueUnits > 0 && g.cfg.SettledLater {
 		g.charge(r.cust, e.TrueUnits-r.units)
+		r.more += e.TrueUnits - r.units
 		r.units = e.TrueUnits
 	}
 	if e.Metered > 0 {
@@ -845,6 +818,7 @@
 	if e.Outcome == Moot && len(r.attempts) == 1 {
 		g.charge(r.cust, -r.units) // nothing was sent, so the quota took nothing
 		r.cust.store += r.units
+		r.more = -r.units
 	}
 	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server)) {
 		return
@@ -859,19 +833,22 @@
 	case OK:
 		g.good(s)
 		g.done.add(g.now, 1)
+		before := len(s.ghosts)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
+		g.all.open -= float64(before - len(s.ghosts))
 		g.learnTime(s, r.class, e.Took, true)
 	case Error:
-		g.answered(s)
+		s.lastGood = g.now
 		g.failed(s)
 	case Full:
-		g.answered(s)
+		s.lastGood = g.now
 		s.slow += slowGain * s.slow
 	case NoConnection, Reset:
 		g.failed(s)
 	case TimedOut, Cancelled:
 		g.learnTime(s, r.class, e.Took, false)
 		s.ghosts = append(s.ghosts, a.at)
+		g.all.open++
 		if e.Outcome == TimedOut {
 			g.failed(s)
 		}
@@ -914,7 +891,8 @@
 	if r == nil {
 		return
 	}
-	r.finished = true
+	r.finished, r.asking = true, false
+	delete(g.asks, r.no)
 	for _, a := range r.attempts {
 		if !a.over && g.cfg.Limits.Cancel && !r.streaming {
 			g.do(Cancel{r.ID, a.n})
@@ -925,7 +903,8 @@
 
 // forget drops a finished request once nothing of it is out.
 func (g *Gateway) forget(r *request) {
-	if r.finished && r.out == 0 {
+	if r.finished && r.out == 0 && g.requests[r.ID] != nil {
+		g.tellEnd(r, r.more)
 		delete(g.requests, r.ID)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -333,13 +333,6 @@
 	}
 }
 
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func TestKeyedWindow(t *testing.T) {
 	r := newRig(t, func(c *Config) { c.Classes[2].Aim, c.Classes[2].Window = 3*time.Second, time.Second })
 	id, s := r.send("putall", "wide")
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,268 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// joined is a few gateways whose messages reach each other late, some never, in an order that a seed decides.
+type joined struct {
+	t        *testing.T
+	cfg      Config
+	gws      []*Gateway
+	rnd      *rand.Rand
+	now      time.Duration
+	due      []letter
+	taken    []int // messages that each gateway was sent
+	used     float64
+	refused  int
+	inFlight map[string]float64
+	answers  []AttemptEnded
+	loss     float64
+	down     map[int]bool
+}
+
+type letter struct {
+	at    time.Duration
+	to    int
+	ev    Event
+	drops bool
+}
+
+func join(t *testing.T, n int, edit func(*Config)) *joined {
+	t.Helper()
+	j := &joined{t: t, cfg: testConfig(), rnd: rand.New(rand.NewSource(5)), now: time.Hour, gws: make([]*Gateway, n),
+		taken: make([]int, n), inFlight: map[string]float64{}, loss: 0.05, down: map[int]bool{}}
+	j.cfg.Gateways = n
+	if edit != nil {
+		edit(&j.cfg)
+	}
+	for i := range j.gws {
+		j.start(i)
+	}
+	return j
+}
+
+func (j *joined) start(i int) {
+	cfg := j.cfg
+	cfg.Rank = i
+	g, err := New(cfg, j.rnd.Int63())
+	if err != nil {
+		j.t.Fatal(err)
+	}
+	j.gws[i] = g
+	j.due = keepLetters(j.due, func(l letter) bool { return l.to != i })
+	j.handle(i, FleetUpdate{Kind: FleetStale, Servers: []Server{{ID: "s1", Zone: "a"}, {ID: "s2", Zone: "a"}}})
+}
+
+func keepLetters(ls []letter, want func(letter) bool) (out []letter) {
+	for _, l := range ls {
+		if want(l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (j *joined) handle(i int, ev Event) {
+	for _, a := range j.gws[i].Handle(j.now, ev) {
+		switch a := a.(type) {
+		case Tell:
+			j.taken[a.To]++
+			if j.rnd.Float64() >= j.loss && !j.down[a.To] {
+				late := time.Duration(2+j.rnd.Intn(16)) * ms
+				j.due = append(j.due, letter{at: j.now + late, to: a.To, ev: PeerMessage{i, a.Text}})
+			}
+		case SetTimer:
+			j.due = append(j.due, letter{at: a.At, to: i, ev: TimerFired{a.Token}})
+		case Send:
+			j.used += j.inFlight[a.ID]
+			j.due = append(j.due, letter{at: j.now + 30*ms, to: i, ev: AttemptEnded{ID: a.ID, Server: a.Server,
+				Outcome: OK, Took: 30 * ms, Done: true}})
+		case Refuse:
+			j.refused++
+		}
+	}
+}
+
+// run plays on to a time, with a request asked for every gap at a gateway that pick names.
+func (j *joined) run(d, gap time.Duration, plan string, units float64, pick func(n int) int) {
+	for end, n := j.now+d, 0; j.now < end; n++ {
+		if i := pick(n); !j.down[i] {
+			id := fmt.Sprint(j.now, "-", n)
+			j.inFlight[id] = units
+			j.handle(i, Request{ID: id, Class: "get", Plan: plan, Customer: "x", Units: units,
+				Deadline: j.now + 2*time.Second, Spread: len(j.gws)})
+		}
+		for next := j.now + gap; j.now < next; j.now += 4 * ms {
+			var ready []letter
+			j.due = keepLetters(j.due, func(l letter) bool {
+				if l.at <= j.now {
+					ready = append(ready, l)
+				}
+				return l.at > j.now
+			})
+			for _, l := range ready {
+				if !j.down[l.to] {
+					j.handle(l.to, l.ev)
+				}
+			}
+		}
+	}
+}
+
+// TestQuotaOverAllGateways: whatever the fleet's size, what all let in stays near rate and burst while the
+// traffic shifts, and most of it is let in where it is within the quota.
+func TestQuotaOverAllGateways(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		for _, ask := range []float64{0.5, 4} { // times the rate
+			j := join(t, n, nil)
+			j.run(3*time.Second, 100*ms, "small", 0, func(int) int { return 0 })
+			const rate, units, secs = 3.0, 2.0, 24.0
+			gap := time.Duration(units / (ask * rate) * float64(time.Second))
+			for k := 0; k < 3; k++ { // the traffic gathers on a tenth of the gateways, then on others
+				few := max(1, n/10)
+				j.run(8*time.Second, gap, "small", units, func(int) int { return (k*few + j.rnd.Intn(few)) % n })
+			}
+			most := rate*secs + 12 + 2*units
+			least := 0.8 * min(ask*rate*secs, rate*secs)
+			if j.used > 1.15*most || j.used < least {
+				t.Errorf("%d gateways, %v times the rate: used %v, want %v to %v", n, ask, j.used, least, most)
+			}
+		}
+	}
+}
+
+// TestMessagesStayWithinIntake: one customer that asks for many times its quota at all of 300 gateways.
+func TestMessagesStayWithinIntake(t *testing.T) {
+	j := join(t, 300, nil)
+	j.run(12*time.Second, 4*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	for i := range j.taken {
+		j.taken[i] = 0
+	}
+	j.run(5*time.Second, 4*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	for i, n := range j.taken {
+		if float64(n)/5 > j.cfg.PeerIntake {
+			t.Errorf("gateway %d was sent %d messages in 5 s, want %v a second at most", i, n, j.cfg.PeerIntake)
+		}
+	}
+}
+
+// TestCeilingOverAllGateways: under restarts of most gateways the sum over all stays under the ceiling.
+func TestCeilingOverAllGateways(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		j := join(t, n, nil)
+		store, last, used := 60.0, j.now, 0.0
+		for k := 0; k < 60; k++ {
+			if k%10 == 5 {
+				for i := range j.gws {
+					if j.rnd.Float64() < 0.9 {
+						j.start(i)
+					}
+				}
+			}
+			j.run(100*ms, 10*ms, "hard", 4, func(int) int { return j.rnd.Intn(n) })
+			store = min(60, store+30*(j.now-last).Seconds()) - (j.used - used)
+			if last, used = j.now, j.used; store < -6 {
+				t.Fatalf("%d gateways: the ceiling's store fell to %v, want -6 at least", n, store)
+			}
+		}
+		if j.used < 30 {
+			t.Errorf("%d gateways: passed on %v in 6 s under a ceiling of 30 a second", n, j.used)
+		}
+	}
+}
+
+// TestDeadHomeCostsLittle: with both homes of a customer down, the bucket of each gateway decides.
+func TestDeadHomeCostsLittle(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("x")
+	for n := 0; n < homes; n++ {
+		j.down[j.gws[0].home(key, n)] = true
+	}
+	j.run(20*time.Second, 1300*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	if j.used < 20 {
+		t.Errorf("used %v of 60 with both homes down, want 20 or more", j.used)
+	}
+	j.down = map[int]bool{}
+	before := j.used
+	j.run(20*time.Second, 1300*ms, "small", 2, func(int) int { return j.rnd.Intn(300) })
+	if got := j.used - before; got < 24 {
+		t.Errorf("used %v of 30 asked after the homes came back, want 24 or more", got)
+	}
+}
+
+// TestWordsDoNoHarm: words that are malformed, of unknown plans or come to the wrong home change nothing.
+func TestWordsDoNoHarm(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("x")
+	home := j.gws[j.gws[0].home(key, 0)]
+	ask := word{kind: 'a', key: key, plan: 1, no: 7, n: 1, v: [4]float64{2}}
+	other := ask
+	other.plan = 40
+	for _, text := range []string{"", "a", ask.text()[:11], ask.text() + "!!", "Z" + ask.text()[1:], other.text(),
+		word{kind: 'a', key: key + 1, plan: 1, n: 1}.text(), word{kind: 'r', key: key, n: 4}.text(),
+		word{kind: 'a', key: key, plan: 1, n: 1, v: [4]float64{-2}}.text()} {
+		if acts := home.Handle(j.now, PeerMessage{From: 299, Text: text}); len(acts) != 0 || len(home.customers) > 0 {
+			t.Errorf("%q: got %#v, %d customers", text, acts, len(home.customers))
+		}
+	}
+	for _, from := range []int{-1, 300, home.cfg.Rank} {
+		if acts := home.Handle(j.now, PeerMessage{From: from, Text: ask.text()}); len(acts) != 0 {
+			t.Errorf("from %d: got %#v", from, acts)
+		}
+	}
+	first := home.Handle(j.now, PeerMessage{From: 9, Text: ask.text()})
+	again := home.Handle(j.now, PeerMessage{From: 9, Text: ask.text()})
+	if len(first) != 1 || len(again) != 1 || home.customers[key].whole > startLevel*12+2 {
+		t.Errorf("the same question twice: %#v, %#v, whole %v", first, again, home.customers[key].whole)
+	}
+}
+
+// TestWaitForAHomeEndsInTime: with both homes silent a request is still answered before its client leaves.
+func TestWaitForAHomeEndsInTime(t *testing.T) {
+	g := join(t, 300, nil).gws[4]
+	until := time.Hour + 30*ms
+	acts := g.Handle(time.Hour, Request{ID: "q", Class: "get", Plan: "small", Customer: "x", Units: 2,
+		Deadline: until, Spread: 300})
+	for i := 0; i < 5; i++ {
+		if timers := find[SetTimer](acts); len(timers) > 0 && timers[0].At <= until {
+			acts = g.Handle(timers[0].At, TimerFired{timers[0].Token})
+		}
+		if len(find[Refuse](acts)) == 1 {
+			return
+		}
+	}
+	t.Errorf("no answer by the deadline: %#v", acts)
+}
+
+func BenchmarkHandle(b *testing.B) {
+	cfg := testConfig()
+	cfg.Gateways = 500
+	g, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var servers []Server
+	for i := 0; i < 100; i++ {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+	}
+	g.Handle(time.Second, FleetUpdate{Kind: FleetFull, Servers: servers})
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		now := time.Second + time.Duration(i)*ms
+		id := fmt.Sprint(i)
+		key := fmt.Sprint("c", i%2000)
+		g.Handle(now, Request{ID: id, Class: "get", Plan: "wide", Customer: key, Units: 1,
+			Deadline: now + time.Second, Spread: 200})
+		for no, r := range g.asks {
+			w := word{kind: 'r', key: r.cust.key, no: no, n: 4, v: [4]float64{1}}
+			g.Handle(now, PeerMessage{From: g.home(r.cust.key, 0), Text: w.text()})
+		}
+		if r := g.requests[id]; r != nil && len(r.attempts) > 0 {
+			g.Handle(now, AttemptEnded{ID: id, Server: r.attempts[0].server.ID, Outcome: OK, Took: ms, Done: true})
+		}
+	}
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,254 @@
+// The types of what a gateway keeps; what is done with it stands in decide.go.
+
+package decide
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+)
+
+type peer struct {
+	heard, sent       time.Duration
+	epoch, seq, mySeq int
+	known             bool // heard since this gateway started
+	younger           bool // it started after this gateway, so all of its totals are news
+	queue             []*customer
+}
+
+// Gateway decides for one gateway. Make it with New.
+type Gateway struct {
+	cfg          Config
+	rng          *rand.Rand
+	now, started time.Duration
+	begun        bool
+	out          []Action
+	classes      map[string]*class
+	plans        map[string]int
+	servers      map[string]*server
+	order        []*server // by ID
+	requests     map[string]*request
+	timers       map[uint64]attemptRef
+	nextToken    uint64
+	customers    map[uint64]*customer
+	queue        []*customer // customers in the order of first sight, to sweep the idle
+	peers        []peer
+	epoch        int
+	budget       float64
+	done         rate    // answers of all servers
+	quickest     float64 // shortest aim of a class, seconds
+	value        float64 // usual worth per unit of work of what is let in
+
+	mesh    bool                // everyone tells everyone
+	asks    map[uint64]*request // that wait for a home, by number
+	askNo   uint64
+	askRate rate                  // questions that came in
+	trip    time.Duration         // usual time of a home's answer
+	silent  map[int]time.Duration // homes that gave no answer, until then
+	all     survey
+}
+
+type class struct {
+	Class
+	base float64 // usual seconds of an answer
+}
+
+// told is what one peer last said of a customer.
+type told struct {
+	have        bool
+	used, asked int
+	rate        rate
+}
+
+type customer struct {
+	key           uint64
+	plan          *Plan
+	planNo        int
+	first, spread int
+	at, last      time.Duration // of the last leak, of the last use
+	level, part   float64       // of this gateway's bucket; its part of rate and mark
+	whole         float64       // of the bucket that all gateways together fill, as far as told
+	settled       time.Duration // the level follows what peers told up to then
+	asked         rate
+
+	usedSum, askedSum, askedTold float64
+
+	used            rate
+	metered, factor float64 // what the meter last told, units a second; factor on the part by it
+	meteredAt       time.Duration
+	told            []told
+	queued          []bool
+	open            int
+	store           float64 // units of this gateway's slice of the ceiling
+
+	fleet        rate          // units that all gateways ask of this home
+	asksAll      float64       // units a second that all gateways ask, as the home told ...
+	toldAt, shut time.Duration // ... then; refused at once until then, by the home's word
+	grants       []grant       // of the home
+	wait         float64       // seconds that the home lets refused ones wait
+}
+
+// grant is what a home let one gateway pass on.
+type grant struct {
+	from int
+	no   uint64
+	at   time.Duration
+	ok   bool
+	out  bool // an attempt is out
+}
+
+type server struct {
+	Server
+	slow, outAvg       float64 // times the usual time of a class; its usual load
+	slowAt             time.Duration
+	out                int
+	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
+	errs               float64
+	sends              rate
+	lastGood, budgetAt time.Duration
+	budget             float64       // cold budget, in requests
+	coldUntil, ejected time.Duration // until then
+	ejections          int
+	trials             int // good answers still wanted; 0: no trial
+}
+
+// survey counts the servers at each beat and each change of the list, so that no request needs to.
+type survey struct {
+	serving, warm, ejected, errs, sends, open float64
+}
+
+type attempt struct {
+	server    *server
+	n         int
+	at        time.Duration
+	over, ran bool // ran: it may have run
+}
+
+type attemptRef struct {
+	id  string
+	n   int
+	due time.Duration
+}
+
+type request struct {
+	Request
+	class               *class
+	cust                *customer
+	units               float64
+	until               time.Duration // no use after this
+	attempts            []*attempt
+	out                 int
+	streaming, finished bool
+	no                  uint64 // of the question to the home
+	asked               int    // questions put
+	askedAt             time.Duration
+	asking              bool
+	granted             int     // the home that let it in, or -1
+	more                float64 // units used beyond those told at first
+}
+
+// New returns a gateway that knows only its configuration. The seed feeds its random choices.
+func New(cfg Config, seed int64) (*Gateway, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
+		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
+		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
+		asks: map[uint64]*request{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
+	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
+		g.peers = make([]peer, cfg.Gateways)
+	}
+	for _, k := range cfg.Classes {
+		g.classes[k.Name] = &class{Class: k, base: firstGuess * k.Aim.Seconds()}
+		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
+			g.quickest = k.Aim.Seconds()
+		}
+	}
+	for i, p := range cfg.Plans {
+		g.plans[p.Name] = i
+	}
+	g.epoch, g.askNo = g.rng.Intn(64*64), uint64(g.rng.Intn(4096))
+	return g, nil
+}
+
+// wake sets a timer for an attempt, or for a question that the number -1 stands for.
+func (g *Gateway) wake(id string, n int, at time.Duration) {
+	g.timers[g.nextToken] = attemptRef{id, n, at}
+	g.do(SetTimer{at, g.nextToken})
+	g.nextToken++
+}
+
+// rate is a sum of units that fades with partMemory; its value is in units a second.
+type rate struct {
+	v  float64
+	at time.Duration
+}
+
+func (r *rate) add(now time.Duration, units float64) {
+	r.v = r.get(now) + units/partMemory.Seconds()
+	r.at = now
+}
+
+func (r *rate) get(now time.Duration) float64 {
+	return r.v * math.Exp(-(now-r.at).Seconds()/partMemory.Seconds())
+}
+
+// inSet reports whether a customer's requests may come in through the gateway of that number.
+func (g *Gateway) inSet(c *customer, rank int) bool {
+	return (rank-c.first+g.cfg.Gateways)%g.cfg.Gateways < c.spread
+}
+
+func (g *Gateway) attempt(id string, n int) *attempt {
+	if r := g.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		return r.attempts[n]
+	}
+	return nil
+}
+
+// server finds a server, or makes it.
+func (g *Gateway) server(id string) *server {
+	if s := g.servers[id]; s != nil {
+		return s
+	}
+	s := &server{slow: 1, outAvg: 0.5}
+	g.servers[id] = s
+	at, _ := slices.BinarySearchFunc(g.order, id, func(s *server, id string) int {
+		return strings.Compare(s.ID, id)
+	})
+	g.order = slices.Insert(g.order, at, s)
+	return s
+}
+
+func (g *Gateway) customer(key uint64, planNo int) *customer {
+	if c := g.customers[key]; c != nil {
+		c.last = g.now
+		return c
+	}
+	p := &g.cfg.Plans[planNo]
+	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
+		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
+	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
+	if !g.mesh {
+		c.whole = startLevel * p.Burst
+	}
+	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
+	g.customers[key] = c
+	g.queue = append(g.queue, c)
+	return c
+}
+
+// sweep drops customers that have been idle for long, a few at each beat.
+func (g *Gateway) sweep() {
+	for n := 0; n < 4 && len(g.queue) > 0; n++ {
+		c := g.queue[0]
+		g.queue = g.queue[1:]
+		if c.open == 0 && g.now-c.last > forgetAfter && !slices.Contains(c.queued, true) {
+			delete(g.customers, c.key)
+			continue
+		}
+		g.queue = append(g.queue, c)
+	}
+}
