Sights of servers travel in words; ejection folded into the share of requests missed by class; shed before asking

Cause: on thin evidence (a gateway meets a server every 40 s) slow and failing servers are not known; two of five questions to homes were for nothing, and homes lost a quarter of theirs.

--- a/decide/codec.go
+++ b/decide/codec.go
@@ -52,13 +52,47 @@
 	key, no uint64
 	plan, n int
 	v       [4]float64 // n figures, in steps of a wordSteps-th
+	seen    int
+	sights  [newsOf]sight
+}
+
+// sight is how one request fared at a server: x times its class's usual time.
+type sight struct {
+	server         uint64
+	class          int
+	x              float64
+	missed, failed bool
 }
 
 const (
 	wordHead  = 10
 	wordSteps = 16
+	newsOf    = 3         // sights in a word
+	sightLen  = 4         // server of three digits; class and level of one
+	shortMask = 1<<18 - 1 // of a server's name
+	unseen    = 6         // level of a sight for no answer; 7 for an error, under it doublings of firstX
+	firstX    = 0.35
+	maxClass  = 7 // number of the last class that a sight can name
 )
 
+func (v sight) encode(b *strings.Builder) {
+	level := min(unseen-1, max(0, math.Round(math.Log2(max(v.x, firstX)/firstX))))
+	if v.failed {
+		level = unseen + 1
+	} else if v.missed {
+		level = unseen
+	}
+	encode(b, v.server, 3)
+	encode(b, uint64(v.class&7<<3|int(level)), 1)
+}
+
+func parseSight(s string) (v sight, ok bool) {
+	d, ok := decode(s)
+	level := int(d & 7)
+	return sight{server: d >> 6, class: int(d >> 3 & 7), x: firstX * math.Exp2(float64(min(level, unseen-1))),
+		missed: level >= unseen, failed: level > unseen}, ok
+}
+
 func (w word) text() string {
 	var b strings.Builder
 	b.WriteByte(w.kind)
@@ -68,10 +102,20 @@
 	for _, x := range w.v[:w.n] {
 		encode(&b, uint64(min(4095, max(0, 2048+math.Round(x*wordSteps)))), 2)
 	}
+	if w.seen > 0 {
+		b.WriteByte('.')
+	}
+	for _, v := range w.sights[:w.seen] {
+		v.encode(&b)
+	}
 	return b.String()
 }
 
 func parseWord(s string) (w word, ok bool) {
+	s, news, _ := strings.Cut(s, ".")
+	if len(news)%sightLen != 0 || len(news) > newsOf*sightLen {
+		return w, false
+	}
 	if len(s) < wordHead || len(s)%2 != 0 || (len(s)-wordHead)/2 > len(w.v) {
 		return w, false
 	}
@@ -83,12 +127,17 @@
 		w.v[w.n] = (float64(x) - 2048) / wordSteps
 		w.n++
 	}
+	for ; news != "" && ok; news = news[sightLen:] {
+		w.sights[w.seen], ok = parseSight(news[:sightLen])
+		w.seen++
+	}
 	return w, ok
 }
 
 func (g *Gateway) tell(to int, kind byte, c *customer, no uint64, v ...float64) {
 	w := word{kind: kind, key: c.key, plan: c.planNo, no: no, n: len(v)}
 	copy(w.v[:], v)
+	w.sights, w.seen = g.news.v, g.news.n
 	g.do(Tell{to, w.text()})
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,6 @@
-// This file holds every decision and every tuned constant; decide/api.go holds the interface: Config,
-// events and actions. Read it in this order: constants; the gateway and how it takes events; the quota
-// (bucket, part, ceiling, open cap); sharing (what peers tell); choice and health of servers; attempts
-// and deadlines; guards of the rules.
+// This file holds every decision and every tuned constant; decide/api.go the interface, state.go what a
+// gateway keeps, codec.go the digits of messages. Read it in this order: constants; how events are taken;
+// quota; sharing; homes; choice and health of servers; attempts and deadlines; guards of the rules.
 
 package decide
 
@@ -52,19 +51,18 @@
 
 // Servers.
 const (
-	baseGain     = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
-	slowGain     = 0.2             // gain of a server's slowness against that: a few answers tell
-	firstGuess   = 0.2             // of the aim: the usual time before any answer
-	slowMemory   = 2 * time.Second // slowness fades without answers: the unused get another look
-	errGain      = 0.15            // gain of a server's share of errors
-	errEject     = 0.3             // share of errors, beyond twice the fleet's, at which a server is ejected
-	ejectFor     = 2 * time.Second // first ejection; doubled each time ...
-	ejectMost    = 8 * time.Second // ... up to this
-	ejectPart    = 0.34            // of the servers may be ejected at once
-	trialsNeeded = 3               // good answers, one at a time, that end an ejection
-	crossZone    = 1.03            // factor on the estimate of a server in another zone
-	coldMargin   = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
-	lookAt       = 16              // servers, from a random one on, are looked at for a request
+	baseGain   = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
+	slowGain   = 0.2             // gain of a server's slowness against that: a few answers tell
+	firstGuess = 0.2             // of the aim: the usual time before any answer
+	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
+	crossZone  = 1.03            // factor on the estimate of a server in another zone
+	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
+	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
+	memoryMost = 20.0            // ... in seconds, this at most
+	missFades  = 2.0             // times that: known of a class's failures
+	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
+	missNear   = 0.2             // over the least such share: as good as the best
+	lookAt     = 16              // servers, from a random one on, are looked at for a request
 )
 
 // Attempts.
@@ -77,7 +75,7 @@
 	overdueMin  = 150 * time.Millisecond
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	openFree    = 4.0  // attempts out that press nobody: one alone says nothing
+	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
@@ -438,6 +436,11 @@
 	if !ok || w.plan >= len(g.cfg.Plans) {
 		return
 	}
+	for _, v := range w.sights[:w.seen] {
+		if s := g.shorts[v.server]; s != nil && v.class < len(g.cfg.Classes) {
+			g.note(s, g.classes[g.cfg.Classes[v.class].Name], v.x, v.missed, v.failed)
+		}
+	}
 	delete(g.silent, from)
 	mine := g.home(w.key, 0) == g.cfg.Rank || g.home(w.key, 1) == g.cfg.Rank
 	switch {
@@ -504,7 +507,8 @@
 	s := g.server(e.ID)
 	if e.Started > s.Started && e.Started+g.cfg.Safety.ColdFor > g.now {
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
-		s.slow, s.errs, s.ejected, s.trials, s.ejections = 1, 0, 0, 0, 0
+		s.slow = 1
+		clear(s.miss)
 	}
 	s.Server = e
 }
@@ -516,7 +520,48 @@
 
 // slowness is a server's, faded by the time since its last answer.
 func (g *Gateway) slowness(s *server) float64 {
-	return 1 + (s.slow-1)*math.Exp(-(g.now-s.slowAt).Seconds()/slowMemory.Seconds())
+	return 1 + (s.slow-1)*math.Exp(-(g.now-s.slowAt).Seconds()/g.memory())
+}
+
+// memory is how long, in seconds, what is known of a server holds: longer where answers of it are rare.
+func (g *Gateway) memory() float64 {
+	return min(memoryMost, max(slowMemory.Seconds(), memoryOf*g.all.serving/max(g.seen.get(g.now), 1e-3)))
+}
+
+// missed is the share of a class's requests that a server leaves unanswered or fails.
+func (g *Gateway) missed(s *server, k *class) float64 {
+	m := &s.miss[k.no]
+	return m.v * math.Exp(-(g.now-m.at).Seconds()/(missFades*g.memory()))
+}
+
+// note takes how a request of a class fared at a server, here or at a gateway that told it: x times the usual
+// time, answered or not, or an error. It guards against servers that are slow or fail one class and serve the
+// others; it should catch what a server's age, a bad disk or a lost dependency do too, whoever met it first.
+// It could harm a server that only costly requests went to.
+func (g *Gateway) note(s *server, k *class, x float64, missed, failed bool) {
+	g.seen.add(g.now, 1)
+	v, to := g.missed(s, k), 0.0
+	if missed {
+		to = 1
+	}
+	s.miss[k.no] = rate{v + missGain*(to-v), g.now}
+	s.slow, s.slowAt = g.slowness(s), g.now
+	if !failed && (!missed || x > s.slow) {
+		s.slow += slowGain * (min(x, 20) - s.slow)
+	}
+}
+
+// saw notes how an own request fared and keeps it to be told.
+func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
+	x := took.Seconds() / max(k.base, 1e-6)
+	g.note(s, k, x, missed, failed)
+	if k.no <= maxClass {
+		g.news.add(sight{s.short, k.no, x, missed, failed})
+	}
+	if !missed {
+		k.n++
+		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
+	}
 }
 
 // load is what this gateway has at the server: attempts out, and ghosts. A jammed server works on what has
@@ -547,11 +592,7 @@
 			continue
 		}
 		all.serving++
-		all.errs += o.errs
 		all.open += g.load(o)
-		if o.ejected > g.now || o.trials > 0 {
-			all.ejected++
-		}
 		if o.coldUntil <= g.now {
 			all.warm++
 			all.sends += o.sends.get(g.now)
@@ -571,87 +612,55 @@
 
 // usable reports whether a request may go to the server by health and by the rules.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Serving || s.ejected > g.now || g.cold(s) || !g.mayRepeatAt(r, s) {
-		return false
-	}
-	return s.trials == 0 || (s.out == 0 && r.class.Effect != Unsafe)
+	return s.State == Serving && !g.cold(s) && g.mayRepeatAt(r, s)
 }
 
-// choose takes the server with the least estimate; last is the one that failed the request before.
-func (g *Gateway) choose(r *request, last *server) (best *server, cost float64) {
-	n := min(len(g.order), lookAt)
-	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < n; i++ {
+// choose takes the server with the least estimate; last is the one that failed the request before. Where
+// answers of a server are too rare to know its load, it takes the better of two at random, of those that fail
+// the class little more than the best looked at: all would else run to the same few servers.
+func (g *Gateway) choose(r *request, last *server) (*server, float64) {
+	var found [lookAt]*server
+	var best *server
+	n, least, cost := 0, 1.0, 0.0
+	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < len(g.order) && n < lookAt; i++ {
 		s := g.order[(from+i)%len(g.order)]
 		if !g.usable(s, r) {
 			continue
 		}
-		c := g.estimate(s, r.class) / max(0.2, 1-s.errs) * (1 + 0.02*g.rng.Float64())
+		found[n] = s
+		n++
+		least = min(least, g.missed(s, r.class))
+	}
+	most := n
+	if g.thin() == 1 {
+		most = 2
+	}
+	for _, s := range found[:n] {
+		miss := g.missed(s, r.class)
+		if miss > least+missNear || most == 0 {
+			continue
+		}
+		most--
+		c := g.estimate(s, r.class) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
 		if s.Zone != g.cfg.Zone {
 			c *= crossZone
 		}
 		if s == last {
 			c *= 3
 		}
-		if s.trials > 0 && r.class.Effect != Unsafe && g.budget >= 1 {
-			return s, g.estimate(s, r.class)
-		}
 		if best == nil || c < cost {
 			best, cost = s, c
 		}
 	}
-	return best, cost
-}
-
-// learnTime takes the time of an answer, or of one that did not come in that time.
-func (g *Gateway) learnTime(s *server, k *class, took time.Duration, ok bool) {
-	x := took.Seconds() / max(k.base, 1e-6)
-	s.slow, s.slowAt = g.slowness(s), g.now
-	if ok || x > s.slow {
-		s.slow += slowGain * (min(x, 20) - s.slow)
-	}
-	if ok {
-		k.base += baseGain * (took.Seconds() - k.base)
+	if best == nil {
+		return nil, 0
 	}
+	return best, g.estimate(best, r.class)
 }
 
-// failed notes an error, or that no answer came in time, and ejects the server if it has many more than the
-// fleet. It guards against servers that fail quickly and so look idle, that went silent, or that a cut link
-// hides; a fault that all share ejects nobody. It could harm a server that only costly requests went to.
-func (g *Gateway) failed(s *server) {
-	g.all.errs += errGain * (1 - s.errs)
-	s.errs += errGain * (1 - s.errs)
-	if s.trials > 0 {
-		g.eject(s)
-		return
-	}
-	others := max(0, g.all.errs-s.errs) / max(1, g.all.serving-1)
-	if s.errs > errEject+2*others {
-		g.eject(s)
-	}
-}
-
-// eject takes the server out for a while, unless too many are: that is no outlier.
-func (g *Gateway) eject(s *server) {
-	if s.ejected > g.now || (s.trials == 0 && g.all.ejected+1 > ejectPart*g.all.serving) {
-		return
-	}
-	if s.trials == 0 {
-		g.all.ejected++
-	}
-	s.ejected = g.now + min(ejectMost, ejectFor<<min(s.ejections, 4))
-	s.ejections++
-	s.trials, s.errs = trialsNeeded, 0
-}
-
-func (g *Gateway) good(s *server) {
-	s.lastGood = g.now
-	g.all.errs -= errGain * s.errs
-	s.errs -= errGain * s.errs
-	if s.trials > 0 {
-		if s.trials--; s.trials == 0 {
-			s.ejections = 0
-		}
-	}
+// thin is 1 where this gateway sees fewer answers in its memory than there are servers, and less where more.
+func (g *Gateway) thin() float64 {
+	return min(1, g.all.serving/max(g.done.get(g.now)*partMemory.Seconds(), 1))
 }
 
 // ---- Attempts and deadlines.
@@ -679,7 +688,7 @@
 	switch {
 	case g.mesh:
 		g.decide(r, g.admit(c, r) && c.underCeiling(r.units))
-	case c.shut > g.now:
+	case c.shut > g.now || g.shed(r): // a home is not asked in vain
 		c.asked.add(g.now, r.units)
 		g.decide(r, false)
 	default:
@@ -696,7 +705,7 @@
 	if room {
 		s, cost = g.choose(r, nil)
 	}
-	if s == nil || g.shed(r, cost) {
+	if s == nil || cost > shedTo*(r.until-g.now).Seconds() || (g.mesh && g.shed(r)) {
 		r.more = -r.units
 		g.refuse(r.ID)
 		g.finish(r)
@@ -715,15 +724,15 @@
 	n := g.all.serving
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	return max(0, g.all.open-openFree) / max(mine, openLeast*n/float64(g.cfg.Gateways))
+	return max(0, g.all.open-openFree*g.thin()) / max(mine, openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
-func (g *Gateway) shed(r *request, cost float64) bool {
+func (g *Gateway) shed(r *request) bool {
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
-	return g.pressed() > f || cost > shedTo*(r.until-g.now).Seconds()
+	return g.pressed() > f
 }
 
 func (g *Gateway) refuse(id string) {
@@ -757,11 +766,11 @@
 // request is merely costly; if it has not, the server may be silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
-	g.learnTime(s, r.class, g.now-a.at, false)
+	a.late = true
+	g.saw(s, r.class, g.now-a.at, true, false)
 	if s.lastGood > a.at {
 		return
 	}
-	g.failed(s)
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
 	}
@@ -831,27 +840,26 @@
 	s := a.server
 	switch e.Outcome {
 	case OK:
-		g.good(s)
+		s.lastGood = g.now
 		g.done.add(g.now, 1)
 		before := len(s.ghosts)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.all.open -= float64(before - len(s.ghosts))
-		g.learnTime(s, r.class, e.Took, true)
+		g.saw(s, r.class, e.Took, false, false)
 	case Error:
+		g.saw(s, r.class, e.Took, true, true)
 		s.lastGood = g.now
-		g.failed(s)
 	case Full:
 		s.lastGood = g.now
 		s.slow += slowGain * s.slow
 	case NoConnection, Reset:
-		g.failed(s)
+		g.saw(s, r.class, e.Took, true, true)
 	case TimedOut, Cancelled:
-		g.learnTime(s, r.class, e.Took, false)
+		if !a.late && e.Outcome == TimedOut {
+			g.saw(s, r.class, e.Took, true, false)
+		}
 		s.ghosts = append(s.ghosts, a.at)
 		g.all.open++
-		if e.Outcome == TimedOut {
-			g.failed(s)
-		}
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,6 +44,9 @@
 	mesh    bool                // everyone tells everyone
 	asks    map[uint64]*request // that wait for a home, by number
 	askNo   uint64
+	seen    rate // answers that were seen or told
+	news    newest
+	shorts  map[uint64]*server
 	askRate rate                  // questions that came in
 	trip    time.Duration         // usual time of a home's answer
 	silent  map[int]time.Duration // homes that gave no answer, until then
@@ -52,7 +55,9 @@
 
 type class struct {
 	Class
+	no   int
 	base float64 // usual seconds of an answer
+	n    float64 // answers seen
 }
 
 // told is what one peer last said of a customer.
@@ -105,18 +110,17 @@
 	slowAt             time.Duration
 	out                int
 	ghosts             []time.Duration // when the attempts were sent that ended unanswered and may still run
-	errs               float64
+	miss               []rate          // by class: share left or failed, and when that was known
+	short              uint64          // its name in messages
 	sends              rate
 	lastGood, budgetAt time.Duration
-	budget             float64       // cold budget, in requests
-	coldUntil, ejected time.Duration // until then
-	ejections          int
-	trials             int // good answers still wanted; 0: no trial
+	budget             float64 // cold budget, in requests
+	coldUntil          time.Duration
 }
 
 // survey counts the servers at each beat and each change of the list, so that no request needs to.
 type survey struct {
-	serving, warm, ejected, errs, sends, open float64
+	serving, warm, sends, open float64
 }
 
 type attempt struct {
@@ -124,6 +128,7 @@
 	n         int
 	at        time.Duration
 	over, ran bool // ran: it may have run
+	late      bool // it was overdue
 }
 
 type attemptRef struct {
@@ -157,12 +162,12 @@
 	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
 		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
-		asks: map[uint64]*request{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
+		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
 	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
 		g.peers = make([]peer, cfg.Gateways)
 	}
-	for _, k := range cfg.Classes {
-		g.classes[k.Name] = &class{Class: k, base: firstGuess * k.Aim.Seconds()}
+	for i, k := range cfg.Classes {
+		g.classes[k.Name] = &class{no: i, Class: k, base: firstGuess * k.Aim.Seconds()}
 		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
 			g.quickest = k.Aim.Seconds()
 		}
@@ -213,7 +218,8 @@
 	if s := g.servers[id]; s != nil {
 		return s
 	}
-	s := &server{slow: 1, outAvg: 0.5}
+	s := &server{slow: 1, outAvg: 0.5, miss: make([]rate, len(g.cfg.Classes)), short: shortKey(id) & shortMask}
+	g.shorts[s.short] = s
 	g.servers[id] = s
 	at, _ := slices.BinarySearchFunc(g.order, id, func(s *server, id string) int {
 		return strings.Compare(s.ID, id)
@@ -252,3 +258,14 @@
 		g.queue = append(g.queue, c)
 	}
 }
+
+// newest are the last few sights of own requests.
+type newest struct {
+	v [newsOf]sight
+	n int
+}
+
+func (n *newest) add(v sight) {
+	copy(n.v[1:], n.v[:])
+	n.v[0], n.n = v, min(n.n+1, newsOf)
+}
