Flow of admission by answers missed over all sights: jams on thin evidence are seen and broken

Cause: a cap from 2.5 answers a second is noise. Flow let in now shrinks by a tenth for each answer missed, own or told, and grows by 3.5% for each that came.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,16 +73,18 @@
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
-	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
-	budgetMost  = 10.0 // ... up to this many
-	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
-	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
-	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
+	budgetPart  = 0.15  // further attempts a first attempt, by this much the retry budget grows ...
+	budgetMost  = 10.0  // ... up to this many
+	openFree    = 4.0   // attempts out that press nobody where evidence is thin: one alone says nothing
+	shedFrom    = 0.25  // of the cap on open work, where the least worth work is shed
+	flowShrink  = 0.9   // of the flow let in on thin evidence, for each answer missed here or as told ...
+	flowGrow    = 1.035 // ... and for each that came: it holds where one of four is missed
+	flowLeast   = 0.08  // the flow that finds out that a jam is over
+	flowMost    = 1.3   // over 1 nothing is shed: room for chance
+	shedTo      = 0.8   // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
 
-const beatToken = 1 // timer of the beat; tokens above it name attempts
-
 // Handle takes one event at the time now and returns what is to be done, in order.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.out = nil
@@ -113,8 +115,6 @@
 	return g.out
 }
 
-func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
-
 func (g *Gateway) timer(token uint64) {
 	if token == beatToken {
 		g.beat()
@@ -182,7 +182,8 @@
 		c.askedTold = c.askedSum
 		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
 	}
-	return c.room(r.units)
+	return c.room(r.units) && (c.plan.CeilingRate == 0 || // an even slice of the store, empty at a start
+		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
 }
 
 func (c *customer) room(units float64) bool {
@@ -199,11 +200,6 @@
 	}
 }
 
-// underCeiling guards the rule on ceilings: this gateway's even slice of the store, empty at a start.
-func (c *customer) underCeiling(units float64) bool {
-	return c.plan.CeilingRate == 0 || c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= units
-}
-
 func (g *Gateway) charge(c *customer, units float64) {
 	c.level += units
 	if g.mesh {
@@ -270,14 +266,11 @@
 // ones so, the epoch a restart of the peer.
 func (g *Gateway) heard(e PeerMessage) {
 	epoch, seq, ok := parseHead(e.Text)
-	if e.From < 0 || e.From >= g.cfg.Gateways || e.From == g.cfg.Rank {
-		return
-	}
-	if !g.mesh {
+	other := e.From >= 0 && e.From < g.cfg.Gateways && e.From != g.cfg.Rank
+	if other && !g.mesh {
 		g.word(e.From, e.Text)
-		return
 	}
-	if !ok || len(g.peers) == 0 {
+	if !ok || !other || len(g.peers) == 0 {
 		return
 	}
 	p := &g.peers[e.From]
@@ -353,7 +346,9 @@
 			continue
 		}
 		r.asked++
-		r.asking, r.askedAt = true, g.now
+		if r.asking = true; r.askedAt == 0 {
+			r.askedAt = g.now
+		}
 		g.asks[r.no] = r
 		g.tell(i, 'a', c, r.no, r.units)
 		g.wake(r.ID, -1, min(r.until, g.now+askLeast+time.Duration(askWaits*float64(g.trip))))
@@ -398,8 +393,8 @@
 	if ok {
 		c.whole += units
 		c.store -= units
-		c.wait *= waitShrink
-	} else if g.askRate.get(g.now) > askIntake*g.cfg.PeerIntake {
+	}
+	if !ok && g.askRate.get(g.now) > askIntake*g.cfg.PeerIntake {
 		c.wait = min(waitMost.Seconds(), max(c.wait, waitLeast)*waitGrow)
 	} else {
 		c.wait *= waitShrink
@@ -459,25 +454,25 @@
 // answer takes the home's word: it settles part and level, and then the bucket decides.
 func (g *Gateway) answer(from int, w word) {
 	r := g.asks[w.no]
-	if r == nil || r.cust.key != w.key || !r.asking {
+	if r == nil || r.cust.key != w.key {
 		return
 	}
 	ok, whole := w.v[0] > 0, w.v[1]
 	delete(g.asks, w.no)
-	g.trip += time.Duration(0.1 * float64(g.now-r.askedAt-g.trip))
-	r.asking, r.granted = false, -1
-	c := r.cust
-	if c.plan.CeilingRate > 0 && g.now-r.askedAt > grantUse {
-		ok = false
+	if r.asked == 1 {
+		g.trip += time.Duration(0.1 * float64(g.now-r.askedAt-g.trip))
 	}
+	r.asking = false
+	c := r.cust
+	ok = ok && (c.plan.CeilingRate == 0 || g.now-r.askedAt <= grantUse)
 	c.asksAll, c.toldAt = w.v[2], g.now
 	g.leak(c)
 	c.level = c.part * whole
 	if ok {
 		r.granted = from
 	} else {
-		leaks := max(0, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
-		c.shut = g.now + time.Duration(max(w.v[3], min(leaks, 1))*float64(time.Second))
+		leaks := min(1, (whole+r.units-c.plan.Burst)/max(c.plan.Rate, 1e-9))
+		c.shut = g.now + time.Duration(max(w.v[3], leaks)*float64(time.Second))
 	}
 	g.decide(r, ok)
 }
@@ -545,6 +540,11 @@
 		to = 1
 	}
 	s.miss[k.no] = rate{v + missGain*(to-v), g.now}
+	if missed && !failed {
+		g.flow = max(flowLeast, g.flow*flowShrink)
+	} else if !missed {
+		g.flow = min(flowMost, g.flow*flowGrow)
+	}
 	s.slow, s.slowAt = g.slowness(s), g.now
 	if !failed && (!missed || x > s.slow) {
 		s.slow += slowGain * (min(x, 20) - s.slow)
@@ -555,9 +555,7 @@
 func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
 	x := took.Seconds() / max(k.base, 1e-6)
 	g.note(s, k, x, missed, failed)
-	if k.no <= maxClass {
-		g.news.add(sight{s.short, k.no, x, missed, failed})
-	}
+	g.news.add(sight{s.short, k.no, x, missed, failed})
 	if !missed {
 		k.n++
 		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
@@ -620,8 +618,7 @@
 // the class little more than the best looked at: all would else run to the same few servers.
 func (g *Gateway) choose(r *request, last *server) (*server, float64) {
 	var found [lookAt]*server
-	var best *server
-	n, least, cost := 0, 1.0, 0.0
+	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
 	for i, from := 0, g.rng.Intn(max(1, len(g.order))); i < len(g.order) && n < lookAt; i++ {
 		s := g.order[(from+i)%len(g.order)]
 		if !g.usable(s, r) {
@@ -687,7 +684,7 @@
 	g.requests[e.ID] = r
 	switch {
 	case g.mesh:
-		g.decide(r, g.admit(c, r) && c.underCeiling(r.units))
+		g.decide(r, g.admit(c, r))
 	case c.shut > g.now || g.shed(r): // a home is not asked in vain
 		c.asked.add(g.now, r.units)
 		g.decide(r, false)
@@ -732,7 +729,7 @@
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
-	return g.pressed() > f
+	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*(1+1/f)/2)
 }
 
 func (g *Gateway) refuse(id string) {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -238,6 +238,56 @@
 	t.Errorf("no answer by the deadline: %#v", acts)
 }
 
+// TestToldMissesCloseTheFlow: a gateway that is told that most answers are missed lets in less, before it has
+// met the jam itself, and opens again when they come.
+func TestToldMissesCloseTheFlow(t *testing.T) {
+	j := join(t, 300, nil)
+	g := j.gws[3]
+	told := func(missed bool, n int) {
+		for i := 0; i < n; i++ {
+			v := sight{server: shortKey("s1") & shortMask, x: 1, missed: missed}
+			w := word{kind: 'd', key: 1, plan: 0, n: 1, seen: 1, sights: [newsOf]sight{v}}
+			g.Handle(j.now, PeerMessage{From: 9, Text: w.text()})
+		}
+	}
+	asked := func() (n int) {
+		for i := 0; i < 100; i++ {
+			id := fmt.Sprint(j.now, i)
+			n += len(find[Tell](g.Handle(j.now, Request{ID: id, Class: "get", Plan: "wide", Customer: id, Units: 1,
+				Deadline: j.now + time.Second, Spread: 300})))
+		}
+		return n
+	}
+	told(true, 40)
+	if n := asked(); n > 40 {
+		t.Errorf("%d of 100 asked for after 40 missed answers, want 40 at most", n)
+	}
+	told(false, 120)
+	if n := asked(); n < 90 {
+		t.Errorf("%d of 100 asked for after 120 answers that came, want 90 or more", n)
+	}
+}
+
+// TestClassFailureIsAvoided: told that a server leaves one class, a gateway sends it the others only.
+func TestClassFailureIsAvoided(t *testing.T) {
+	r := newRig(t, nil)
+	for i := 0; i < 8; i++ {
+		r.g.note(r.g.servers["s1"], r.g.classes["pay"], 5, true, false)
+	}
+	r.g.flow = flowMost
+	got := map[string]int{}
+	for i := 0; i < 30; i++ {
+		for _, class := range []string{"pay", "get"} {
+			id, s := r.send(class, "wide")
+			got[class+s.Server]++
+			r.end(id, 0, s.Server, OK)
+		}
+	}
+	if got["pays1"] > 0 {
+		t.Errorf("sent %d of a class to a server that leaves it: %v", got["pays1"], got)
+	}
+}
+
 func BenchmarkHandle(b *testing.B) {
 	cfg := testConfig()
 	cfg.Gateways = 500
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,7 +44,8 @@
 	mesh    bool                // everyone tells everyone
 	asks    map[uint64]*request // that wait for a home, by number
 	askNo   uint64
-	seen    rate // answers that were seen or told
+	flow    float64 // part of the requests that servers bear; over 1, all
+	seen    rate    // answers that were seen or told
 	news    newest
 	shorts  map[uint64]*server
 	askRate rate                  // questions that came in
@@ -154,6 +155,10 @@
 	more                float64 // units used beyond those told at first
 }
 
+const beatToken = 1 // timer of the beat; tokens above it name attempts and questions
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
 // New returns a gateway that knows only its configuration. The seed feeds its random choices.
 func New(cfg Config, seed int64) (*Gateway, error) {
 	if err := cfg.Validate(); err != nil {
@@ -162,7 +167,7 @@
 	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
 		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
-		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
+		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, flow: 1, budget: budgetMost}
 	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
 		g.peers = make([]peer, cfg.Gateways)
 	}
@@ -266,6 +271,9 @@
 }
 
 func (n *newest) add(v sight) {
+	if v.class > maxClass {
+		return // a word has no digit for it
+	}
 	copy(n.v[1:], n.v[:])
 	n.v[0], n.n = v, min(n.n+1, newsOf)
 }
