--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,15 +73,15 @@
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
-	budgetPart  = 0.15  // further attempts a first attempt, by this much the retry budget grows ...
-	budgetMost  = 10.0  // ... up to this many
-	openFree    = 4.0   // attempts out that press nobody where evidence is thin: one alone says nothing
-	shedFrom    = 0.25  // of the cap on open work, where the least worth work is shed
-	flowShrink  = 0.9   // of the flow let in on thin evidence, for each answer missed here or as told ...
-	flowGrow    = 1.035 // ... and for each that came: it holds where one of four is missed
-	flowLeast   = 0.08  // the flow that finds out that a jam is over
-	flowMost    = 1.3   // over 1 nothing is shed: room for chance
-	shedTo      = 0.8   // of the time left: an estimate over it is hopeless
+	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
+	budgetMost  = 10.0 // ... up to this many
+	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
+	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
+	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
+	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
+	flowLeast   = 0.08 // the flow that finds out that a jam is over
+	flowMost    = 1.3  // over 1 nothing is shed: room for chance
+	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
 
@@ -546,7 +546,7 @@
 		g.flow = min(flowMost, g.flow*flowGrow)
 	}
 	s.slow, s.slowAt = g.slowness(s), g.now
-	if !failed && (!missed || x > s.slow) {
+	if !missed || x > s.slow {
 		s.slow += slowGain * (min(x, 20) - s.slow)
 	}
 }
@@ -763,8 +763,7 @@
 // request is merely costly; if it has not, the server may be silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
-	a.late = true
-	g.saw(s, r.class, g.now-a.at, true, false)
+	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
 	if s.lastGood > a.at {
 		return
 	}
@@ -852,7 +851,7 @@
 	case NoConnection, Reset:
 		g.saw(s, r.class, e.Took, true, true)
 	case TimedOut, Cancelled:
-		if !a.late && e.Outcome == TimedOut {
+		if e.Outcome == TimedOut {
 			g.saw(s, r.class, e.Took, true, false)
 		}
 		s.ghosts = append(s.ghosts, a.at)
--- a/decide/state.go
+++ b/decide/state.go
@@ -129,7 +129,6 @@
 	n         int
 	at        time.Duration
 	over, ran bool // ran: it may have run
-	late      bool // it was overdue
 }
 
 type attemptRef struct {
