--- a/decide/decide.go
+++ b/decide/decide.go
@@ -846,8 +846,8 @@
 		g.saw(s, r.class, e.Took, true, true)
 		s.lastGood = g.now
 	case Full:
+		g.saw(s, r.class, e.Took, true, false) // its queue is full: a jam as well
 		s.lastGood = g.now
-		s.slow += slowGain * s.slow
 	case NoConnection, Reset:
 		g.saw(s, r.class, e.Took, true, true)
 	case TimedOut, Cancelled:
