--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,10 +61,6 @@
 	memoryMost = 20.0            // ... in seconds, this at most
 	missFades  = 2.0             // times that: known of a class's failures
 	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
-	queueHalf  = 2.0             // so many waiting requests add a server's usual time
-	utilUsual  = 0.65            // over 1 less the square of the busy share: times the usual time
-	utilMost   = 0.95            // more is not told apart
-	silentX    = 2.0             // times the usual: a server that reports nothing where others do
 	missNear   = 0.2             // over the least such share: as good as the best
 	lookAt     = 16              // servers, from a random one on, are looked at for a request
 )
@@ -556,11 +552,8 @@
 }
 
 // saw notes how an own request fared and keeps it to be told.
-func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool, load Report) {
+func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
 	x := took.Seconds() / max(k.base, 1e-6)
-	if !missed {
-		x = g.reported(load, x)
-	}
 	g.note(s, k, x, missed, failed)
 	g.news.add(sight{s.short, k.no, x, missed, failed})
 	if !missed {
@@ -770,7 +763,7 @@
 // request is merely costly; if it has not, the server may be silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
-	g.saw(s, r.class, g.now-a.at, true, true, nil) // it may still come: no sign of a jam yet
+	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
 	if s.lastGood > a.at {
 		return
 	}
@@ -838,23 +831,6 @@
 	g.giveUp(r)
 }
 
-// reported evens out x, the times the usual time that an answer took, by what the server reports of its load:
-// one time says little. Where answers bring reports, one without is from a server too busy to report.
-func (g *Gateway) reported(r Report, x float64) float64 {
-	util, hasUtil := r["util"]
-	queue, hasQueue := r["queue"]
-	g.reports = g.reports || len(r) > 0
-	switch {
-	case hasQueue && queue >= 0:
-		return (x + 1 + queue/queueHalf) / 2
-	case hasUtil && util >= 0:
-		return (x + utilUsual/(1-min(utilMost, util)*min(utilMost, util))) / 2
-	case g.reports:
-		return (x + silentX) / 2
-	}
-	return x
-}
-
 // judge takes what an outcome says of its server.
 func (g *Gateway) judge(r *request, a *attempt, e AttemptEnded) {
 	s := a.server
@@ -865,18 +841,18 @@
 		before := len(s.ghosts)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.all.open -= float64(before - len(s.ghosts))
-		g.saw(s, r.class, e.Took, false, false, e.Report)
+		g.saw(s, r.class, e.Took, false, false)
 	case Error:
-		g.saw(s, r.class, e.Took, true, true, nil)
+		g.saw(s, r.class, e.Took, true, true)
 		s.lastGood = g.now
 	case Full:
-		g.saw(s, r.class, e.Took, true, false, nil) // its queue is full: a jam as well
+		g.saw(s, r.class, e.Took, true, false) // its queue is full: a jam as well
 		s.lastGood = g.now
 	case NoConnection, Reset:
-		g.saw(s, r.class, e.Took, true, true, nil)
+		g.saw(s, r.class, e.Took, true, true)
 	case TimedOut, Cancelled:
 		if e.Outcome == TimedOut {
-			g.saw(s, r.class, e.Took, true, false, nil)
+			g.saw(s, r.class, e.Took, true, false)
 		}
 		s.ghosts = append(s.ghosts, a.at)
 		g.all.open++
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,7 +45,6 @@
 	asks    map[uint64]*request // that wait for a home, by number
 	askNo   uint64
 	flow    float64 // part of the requests that servers bear; over 1, all
-	reports bool    // answers bring them
 	seen    rate    // answers that were seen or told
 	news    newest
 	shorts  map[uint64]*server
