--- a/decide/decide.go
+++ b/decide/decide.go
@@ -539,7 +539,7 @@
 	if missed {
 		to = 1
 	}
-	s.miss[k.no] = rate{v + missGain*(to-v), g.now}
+	s.miss[k.no] = rate{v + missGain*(1+g.thin())*(to-v), g.now}
 	if missed && !failed {
 		g.flow = max(flowLeast, g.flow*flowShrink)
 	} else if !missed {
