--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,15 +73,15 @@
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
-	budgetPart  = 0.15  // further attempts a first attempt, by this much the retry budget grows ...
-	budgetMost  = 10.0  // ... up to this many
-	openFree    = 4.0   // attempts out that press nobody where evidence is thin: one alone says nothing
-	shedFrom    = 0.25  // of the cap on open work, where the least worth work is shed
-	flowShrink  = 0.92  // of the flow let in on thin evidence, for each answer missed here or as told ...
-	flowGrow    = 1.015 // ... and for each that came: it holds where one of six is missed
-	flowLeast   = 0.08  // the flow that finds out that a jam is over
-	flowMost    = 1.3   // over 1 nothing is shed: room for chance
-	shedTo      = 0.8   // of the time left: an estimate over it is hopeless
+	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
+	budgetMost  = 10.0 // ... up to this many
+	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
+	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
+	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
+	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
+	flowLeast   = 0.08 // the flow that finds out that a jam is over
+	flowMost    = 1.3  // over 1 nothing is shed: room for chance
+	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
 
