--- a/decide/codec.go
+++ b/decide/codec.go
@@ -67,7 +67,6 @@
 const (
 	wordHead  = 10
 	wordSteps = 16
-	newsOf    = 3         // sights in a word
 	sightLen  = 4         // server of three digits; class and level of one
 	shortMask = 1<<18 - 1 // of a server's name
 	unseen    = 6         // level of a sight for no answer; 7 for an error, under it doublings of firstX
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,6 +61,7 @@
 	memoryMost = 20.0            // ... in seconds, this at most
 	missFades  = 2.0             // times that: known of a class's failures
 	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
+	newsOf     = 3               // sights that a word carries: twice as many made the flow react to chance
 	missNear   = 0.2             // over the least such share: as good as the best
 	lookAt     = 16              // servers, from a random one on, are looked at for a request
 )
@@ -729,7 +730,7 @@
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
 	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
-	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*(1+1/f)/2)
+	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
 }
 
 func (g *Gateway) refuse(id string) {
