--- a/decide/decide.go
+++ b/decide/decide.go
@@ -81,7 +81,7 @@
 	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
 	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
 	flowLeast   = 0.08 // the flow that finds out that a jam is over
-	flowMost    = 1.3  // over 1 nothing is shed: room for chance
+	flowMost    = 2.2  // over 1 nothing is shed: room for chance
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
