--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,6 +74,7 @@
 	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
 	overdueX    = 4.0                     // times its estimate: an attempt is overdue
 	overdueMin  = 150 * time.Millisecond
+	callOffFrom = 0.3  // share missed: on thin evidence only a server known for it is given up on early
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
 	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
@@ -761,9 +762,16 @@
 }
 
 // overdue looks at an attempt that should have been answered. If the server has answered others since, the
-// request is merely costly; if it has not, the server may be silent.
+// request is merely costly; if it has not, the server may be silent. A gateway that hardly meets a server
+// sees no such answer either way: there only what was told of the server may speak against it. Else all
+// gateways call off what is merely costly or waits, servers work on it all the same, and the fleet jams by its
+// own further attempts. It should also catch slow spells and heavy tails; it could harm where a server has
+// just gone silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
+	if g.thin() == 1 && g.missed(s, r.class) < callOffFrom {
+		return
+	}
 	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
 	if s.lastGood > a.at {
 		return
--- /dev/null
+++ b/decide/thin_test.go
@@ -0,0 +1,63 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// thinRig is a gateway of a large fleet: it meets each of its servers too seldom to know them.
+func thinRig(t *testing.T, edit func(*Config)) *rig {
+	t.Helper()
+	var servers []Server
+	for i := 0; i < 40; i++ {
+		servers = append(servers, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+	}
+	return newRig(t, func(c *Config) {
+		c.Limits.Peers = false // the quota is no matter here
+		if edit != nil {
+			edit(c)
+		}
+	}, servers...)
+}
+
+// overdueTimer fires the timer of the attempts that acts sent, at its time.
+func (r *rig) overdueTimer(acts []Action) []Action {
+	r.t.Helper()
+	timers := find[SetTimer](acts)
+	if len(timers) != 1 {
+		r.t.Fatalf("got %#v, want one timer", acts)
+	}
+	r.now = timers[0].At
+	return r.do(TimerFired{timers[0].Token})
+}
+
+// TestCostlyRequestIsNotCalledOffOnThinEvidence: a gateway that sees no other answer of a server can't tell a costly
+// request from a silent server. It waits, unless it knows that the server leaves such requests.
+func TestCostlyRequestIsNotCalledOffOnThinEvidence(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		r := thinRig(t, nil)
+		_, acts := r.ask("get", "wide", "c", 1)
+		s := find[Send](acts)[0]
+		if known {
+			r.g.note(r.g.servers[s.Server], r.g.classes["get"], 1, true, true) // as a peer told
+		}
+		if got := len(find[Cancel](r.overdueTimer(acts))) > 0; got != known {
+			t.Errorf("server known to miss %v: called off %v", known, got)
+		}
+	}
+}
+
+// TestCostlyRequestIsCalledOffWhereAnswersAreMany: with few servers the same gateway does call off.
+func TestCostlyRequestIsCalledOffWhereAnswersAreMany(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.Peers = false })
+	for i := 0; i < 20; i++ {
+		r.now += 20 * ms
+		r.serve("get", "wide", "c", 1)
+	}
+	r.now += time.Millisecond
+	_, acts := r.ask("get", "wide", "c", 1)
+	if len(find[Cancel](r.overdueTimer(acts))) == 0 {
+		t.Error("an overdue attempt at a server that answered nothing since was not called off")
+	}
+}
