--- a/decide/decide.go
+++ b/decide/decide.go
@@ -764,9 +764,9 @@
 // overdue looks at an attempt that should have been answered. If the server has answered others since, the
 // request is merely costly; if it has not, the server may be silent. A gateway that hardly meets a server
 // sees no such answer either way: there only what was told of the server may speak against it. Else all
-// gateways call off what is merely costly or waits, servers work on it all the same, and the fleet jams by its
-// own further attempts. It should also catch slow spells and heavy tails; it could harm where a server has
-// just gone silent.
+// gateways call off what is merely costly or waits, servers work on it all the same, and the fleet jams by
+// its own further attempts. It should also catch slow spells and heavy tails; it could harm where a server
+// has just gone silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
 	if g.thin() == 1 && g.missed(s, r.class) < callOffFrom {
