--- a/decide/decide.go
+++ b/decide/decide.go
@@ -616,8 +616,9 @@
 }
 
 // choose takes the server with the least estimate; last is the one that failed the request before. Where
-// answers of a server are too rare to know its load, it takes the better of two at random, of those that fail
-// the class little more than the best looked at: all would else run to the same few servers.
+// answers of a server are too rare to know its load, it draws among those that fail the class little more than
+// the best looked at, each in proportion to the inverse of its estimate: all would else run to the same few
+// servers, and a fleet of slow and quick ones would get even shares and jam at the slow.
 func (g *Gateway) choose(r *request, last *server) (*server, float64) {
 	var found [lookAt]*server
 	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
@@ -630,17 +631,15 @@
 		n++
 		least = min(least, g.missed(s, r.class))
 	}
-	most := n
-	if g.thin() == 1 {
-		most = 2
-	}
 	for _, s := range found[:n] {
 		miss := g.missed(s, r.class)
-		if miss > least+missNear || most == 0 {
+		if miss > least+missNear {
 			continue
 		}
-		most--
 		c := g.estimate(s, r.class) / max(0.2, 1-miss) * (1 + 0.02*g.rng.Float64())
+		if g.thin() == 1 {
+			c *= g.rng.ExpFloat64() // the least of these is each one's with a chance of 1/c
+		}
 		if s.Zone != g.cfg.Zone {
 			c *= crossZone
 		}
--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -61,3 +61,28 @@
 		t.Error("an overdue attempt at a server that answered nothing since was not called off")
 	}
 }
+
+// TestShareFollowsSpeedOnThinEvidence: a server known to take twice the time gets about half as much, not nothing
+// and not an even share.
+func TestShareFollowsSpeedOnThinEvidence(t *testing.T) {
+	r := thinRig(t, nil)
+	got := [2]float64{}
+	for i := 0; i < 1500; i++ {
+		r.now += time.Second // one request at a time: few answers for forty servers
+		for n, s := range r.g.order {
+			s.slow, s.slowAt = 1+float64(n%2), r.now
+		}
+		id, s := r.send("get", "wide")
+		var n int
+		for n = range r.g.order {
+			if r.g.order[n].ID == s.Server {
+				break
+			}
+		}
+		got[n%2]++
+		r.end(id, 0, s.Server, OK)
+	}
+	if x := got[1] / got[0]; x < 0.4 || x > 0.65 {
+		t.Errorf("servers of twice the time got %v of the others' share, want about a half", x)
+	}
+}
