--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,11 +77,11 @@
 	callOffFrom = 0.3  // share missed: on thin evidence only a server known for it is given up on early
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	openFree    = 4.0  // attempts out that press nobody where evidence is thin: one alone says nothing
+	openFree    = 4.0  // attempts out, times the flow, that press nobody on thin evidence: one says nothing
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
 	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
 	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
-	flowLeast   = 0.08 // the flow that finds out that a jam is over
+	flowLeast   = 0.25 // the flow that finds out that a jam is over
 	flowMost    = 2.2  // over 1 nothing is shed: room for chance
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
@@ -616,9 +616,9 @@
 }
 
 // choose takes the server with the least estimate; last is the one that failed the request before. Where
-// answers of a server are too rare to know its load, it draws among those that fail the class little more than
-// the best looked at, each in proportion to the inverse of its estimate: all would else run to the same few
-// servers, and a fleet of slow and quick ones would get even shares and jam at the slow.
+// answers of a server are too rare to know its load, it draws among those that fail the class little more
+// than the best looked at, each in proportion to the inverse of its estimate: all would else run to the same
+// few servers, or slow ones get the same share as quick ones and jam.
 func (g *Gateway) choose(r *request, last *server) (*server, float64) {
 	var found [lookAt]*server
 	best, n, least, cost := (*server)(nil), 0, 1.0, 0.0
@@ -717,12 +717,14 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over.
+// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over: on thin
+// evidence as many more as the flow lets, for a few at each of hundreds of gateways are a jam by themselves.
 func (g *Gateway) pressed() float64 {
 	n := g.all.serving
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	return max(0, g.all.open-openFree*g.thin()) / max(mine, openLeast*n/float64(g.cfg.Gateways))
+	free := openFree * g.thin() * min(1, g.flow)
+	return max(0, g.all.open-free) / max(mine, openLeast*n/float64(g.cfg.Gateways))
 }
 
 // shed decides whether the wait is too long for what the request is worth.
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -250,9 +250,11 @@
 			g.Handle(j.now, PeerMessage{From: 9, Text: w.text()})
 		}
 	}
+	total := 0
 	asked := func() (n int) {
 		for i := 0; i < 100; i++ {
-			id := fmt.Sprint(j.now, i)
+			total++
+			id := fmt.Sprint("r", total)
 			n += len(find[Tell](g.Handle(j.now, Request{ID: id, Class: "get", Plan: "wide", Customer: id, Units: 1,
 				Deadline: j.now + time.Second, Spread: 300})))
 		}
