Words tell open work and answers a second; on thin evidence their mean presses, in place of the flow

Cause: no gateway of hundreds sees how much is open at the servers.

Also tried: a cap at half of the shortest aim, four or five a server: noise.

--- a/decide/codec.go
+++ b/decide/codec.go
@@ -52,33 +52,34 @@
 	key, no uint64
 	plan, n int
 	v       [4]float64 // n figures, in steps of a wordSteps-th
+	open    float64    // work that the sender has open ...
+	done    float64    // ... and answers a second that it gets
 	seen    int
 	sights  [newsOf]sight
 }
 
 // sight is how one request fared at a server: x times its class's usual time.
 type sight struct {
-	server         uint64
-	class          int
-	x              float64
-	missed, failed bool
+	server uint64
+	class  int
+	x      float64
+	missed bool
 }
 
 const (
-	wordHead  = 10
+	wordHead  = 12
+	doneSteps = 4 // of the answers a second that a word tells
 	wordSteps = 16
 	sightLen  = 4         // server of three digits; class and level of one
 	shortMask = 1<<18 - 1 // of a server's name
-	unseen    = 6         // level of a sight for no answer; 7 for an error, under it doublings of firstX
+	unseen    = 6         // level of a sight for no answer or an error; under it doublings of firstX
 	firstX    = 0.35
 	maxClass  = 7 // number of the last class that a sight can name
 )
 
 func (v sight) encode(b *strings.Builder) {
 	level := min(unseen-1, max(0, math.Round(math.Log2(max(v.x, firstX)/firstX))))
-	if v.failed {
-		level = unseen + 1
-	} else if v.missed {
+	if v.missed {
 		level = unseen
 	}
 	encode(b, v.server, 3)
@@ -89,7 +90,7 @@
 	d, ok := decode(s)
 	level := int(d & 7)
 	return sight{server: d >> 6, class: int(d >> 3 & 7), x: firstX * math.Exp2(float64(min(level, unseen-1))),
-		missed: level >= unseen, failed: level > unseen}, ok
+		missed: level >= unseen}, ok
 }
 
 func (w word) text() string {
@@ -98,6 +99,8 @@
 	encode(&b, w.key, 6)
 	encode(&b, uint64(w.plan), 1)
 	encode(&b, w.no&4095, 2)
+	encode(&b, uint64(min(63, max(0, math.Round(w.open)))), 1)
+	encode(&b, uint64(min(63, max(0, math.Round(doneSteps*w.done)))), 1)
 	for _, x := range w.v[:w.n] {
 		encode(&b, uint64(min(4095, max(0, 2048+math.Round(x*wordSteps)))), 2)
 	}
@@ -118,8 +121,10 @@
 	if len(s) < wordHead || len(s)%2 != 0 || (len(s)-wordHead)/2 > len(w.v) {
 		return w, false
 	}
-	head, ok := decode(s[1:wordHead])
+	head, ok := decode(s[1 : wordHead-2])
 	w.kind, w.key, w.plan, w.no = s[0], head>>18, int(head>>12&63), head&4095
+	load, ok2 := decode(s[wordHead-2 : wordHead])
+	w.open, w.done, ok = float64(load>>6), float64(load&63)/doneSteps, ok && ok2
 	for s = s[wordHead:]; s != "" && ok; s = s[2:] {
 		var x uint64
 		x, ok = decode(s[:2])
@@ -137,6 +142,7 @@
 	w := word{kind: kind, key: c.key, plan: c.planNo, no: no, n: len(v)}
 	copy(w.v[:], v)
 	w.sights, w.seen = g.news.v, g.news.n
+	w.open, w.done = g.all.open, g.done.get(g.now)
 	g.do(Tell{to, w.text()})
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,7 +61,7 @@
 	memoryMost = 20.0            // ... in seconds, this at most
 	missFades  = 2.0             // times that: known of a class's failures
 	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
-	newsOf     = 3               // sights that a word carries: twice as many made the flow react to chance
+	newsOf     = 3               // sights that a word carries
 	missNear   = 0.2             // over the least such share: as good as the best
 	lookAt     = 16              // servers, from a random one on, are looked at for a request
 )
@@ -77,12 +77,11 @@
 	callOffFrom = 0.3  // share missed: on thin evidence only a server known for it is given up on early
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
-	openFree    = 4.0  // attempts out, times the flow, that press nobody on thin evidence: one says nothing
+	openFree    = 4.0  // own attempts out that press nobody where evidence is thin: one alone says nothing
+	openTold    = 6.0  // attempts out a server, by the mean told, that are always allowed
+	toldGain    = 0.1  // gain of a told figure in that mean: ten words are a picture of the fleet ...
+	ownGain     = 0.03 // ... and of the own at each beat: without words the mean is the own in some seconds
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
-	flowShrink  = 0.85 // of the flow let in on thin evidence, for each answer missed here or as told ...
-	flowGrow    = 1.03 // ... and for each that came: it holds where one of six is missed
-	flowLeast   = 0.25 // the flow that finds out that a jam is over
-	flowMost    = 2.2  // over 1 nothing is shed: room for chance
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
@@ -248,6 +247,7 @@
 		g.do(Tell{i, g.message(i, p)})
 	}
 	g.survey()
+	g.mix(g.all.open, g.done.get(g.now), ownGain)
 	g.sweep()
 }
 
@@ -435,9 +435,10 @@
 	}
 	for _, v := range w.sights[:w.seen] {
 		if s := g.shorts[v.server]; s != nil && v.class < len(g.cfg.Classes) {
-			g.note(s, g.classes[g.cfg.Classes[v.class].Name], v.x, v.missed, v.failed)
+			g.note(s, g.classes[g.cfg.Classes[v.class].Name], v.x, v.missed)
 		}
 	}
+	g.mix(w.open, w.done, toldGain)
 	delete(g.silent, from)
 	mine := g.home(w.key, 0) == g.cfg.Rank || g.home(w.key, 1) == g.cfg.Rank
 	switch {
@@ -532,21 +533,16 @@
 }
 
 // note takes how a request of a class fared at a server, here or at a gateway that told it: x times the usual
-// time, answered or not, or an error. It guards against servers that are slow or fail one class and serve the
+// time, answered or not. It guards against servers that are slow or fail one class and serve the
 // others; it should catch what a server's age, a bad disk or a lost dependency do too, whoever met it first.
 // It could harm a server that only costly requests went to.
-func (g *Gateway) note(s *server, k *class, x float64, missed, failed bool) {
+func (g *Gateway) note(s *server, k *class, x float64, missed bool) {
 	g.seen.add(g.now, 1)
 	v, to := g.missed(s, k), 0.0
 	if missed {
 		to = 1
 	}
 	s.miss[k.no] = rate{v + missGain*(1+g.thin())*(to-v), g.now}
-	if missed && !failed {
-		g.flow = max(flowLeast, g.flow*flowShrink)
-	} else if !missed {
-		g.flow = min(flowMost, g.flow*flowGrow)
-	}
 	s.slow, s.slowAt = g.slowness(s), g.now
 	if !missed || x > s.slow {
 		s.slow += slowGain * (min(x, 20) - s.slow)
@@ -554,10 +550,10 @@
 }
 
 // saw notes how an own request fared and keeps it to be told.
-func (g *Gateway) saw(s *server, k *class, took time.Duration, missed, failed bool) {
+func (g *Gateway) saw(s *server, k *class, took time.Duration, missed bool) {
 	x := took.Seconds() / max(k.base, 1e-6)
-	g.note(s, k, x, missed, failed)
-	g.news.add(sight{s.short, k.no, x, missed, failed})
+	g.note(s, k, x, missed)
+	g.news.add(sight{s.short, k.no, x, missed})
 	if !missed {
 		k.n++
 		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
@@ -717,22 +713,33 @@
 
 // pressed is the open work over its cap. By Little's law open work is the answers a second times their time,
 // so a cap at the answers that do come times the time they should take holds the wait down whatever the
-// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over: on thin
-// evidence as many more as the flow lets, for a few at each of hundreds of gateways are a jam by themselves.
+// servers can do, and closes when they jam. A few may always be out, to find out that a jam is over. On thin
+// evidence a few at each of hundreds of gateways are a jam by themselves, which none of them sees: there the
+// cap is put on the mean of what gateways tell. It should also catch a slow shared dependency, a fleet that
+// shrinks and a rush at the start; it could harm where few words come, so own figures take their place by
+// and by.
 func (g *Gateway) pressed() float64 {
-	n := g.all.serving
+	n, all := g.all.serving, float64(g.cfg.Gateways)
 	seen := 1 - math.Exp(-max(g.now-g.started, time.Second/4).Seconds()/partMemory.Seconds())
 	mine := g.done.get(g.now) / seen * waitPart * g.quickest
-	free := openFree * g.thin() * min(1, g.flow)
-	return max(0, g.all.open-free) / max(mine, openLeast*n/float64(g.cfg.Gateways))
+	own := max(0, g.all.open-openFree*g.thin()) / max(mine, openLeast*n/all)
+	if g.mesh {
+		return own
+	}
+	return max(own, g.usual.open/max(g.usual.done*waitPart*g.quickest, openTold*n/all))
+}
+
+// mix takes a gateway's open work and answers a second, told or own, into the mean of the fleet.
+func (g *Gateway) mix(open, done, gain float64) {
+	g.usual.open += gain * (open - g.usual.open)
+	g.usual.done += gain * (done - g.usual.done)
 }
 
 // shed decides whether the wait is too long for what the request is worth.
 func (g *Gateway) shed(r *request) bool {
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
-	f := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
-	return g.pressed() > f || g.rng.Float64() > math.Pow(g.flow, g.thin()*g.thin()*(1+1/f)/2)
+	return g.pressed() > shedFrom+(1-shedFrom)*min(1, value/max(g.value, 1e-9))
 }
 
 func (g *Gateway) refuse(id string) {
@@ -773,7 +780,7 @@
 	if g.thin() == 1 && g.missed(s, r.class) < callOffFrom {
 		return
 	}
-	g.saw(s, r.class, g.now-a.at, true, true) // it may still come: no sign of a jam yet
+	g.saw(s, r.class, g.now-a.at, true)
 	if s.lastGood > a.at {
 		return
 	}
@@ -851,18 +858,18 @@
 		before := len(s.ghosts)
 		s.ghosts = slices.DeleteFunc(s.ghosts, func(at time.Duration) bool { return at < a.at })
 		g.all.open -= float64(before - len(s.ghosts))
-		g.saw(s, r.class, e.Took, false, false)
+		g.saw(s, r.class, e.Took, false)
 	case Error:
-		g.saw(s, r.class, e.Took, true, true)
+		g.saw(s, r.class, e.Took, true)
 		s.lastGood = g.now
 	case Full:
-		g.saw(s, r.class, e.Took, true, false) // its queue is full: a jam as well
+		g.saw(s, r.class, e.Took, true)
 		s.lastGood = g.now
 	case NoConnection, Reset:
-		g.saw(s, r.class, e.Took, true, true)
+		g.saw(s, r.class, e.Took, true)
 	case TimedOut, Cancelled:
 		if e.Outcome == TimedOut {
-			g.saw(s, r.class, e.Took, true, false)
+			g.saw(s, r.class, e.Took, true)
 		}
 		s.ghosts = append(s.ghosts, a.at)
 		g.all.open++
--- a/decide/state.go
+++ b/decide/state.go
@@ -44,9 +44,9 @@
 	mesh    bool                // everyone tells everyone
 	asks    map[uint64]*request // that wait for a home, by number
 	askNo   uint64
-	flow    float64 // part of the requests that servers bear; over 1, all
-	seen    rate    // answers that were seen or told
+	seen    rate // answers that were seen or told
 	news    newest
+	usual   struct{ open, done float64 } // mean of the gateways: work open, answers a second
 	shorts  map[uint64]*server
 	askRate rate                  // questions that came in
 	trip    time.Duration         // usual time of a home's answer
@@ -166,7 +166,7 @@
 	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
 		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
-		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, flow: 1, budget: budgetMost}
+		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
 	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
 		g.peers = make([]peer, cfg.Gateways)
 	}
