--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,6 +68,7 @@
 
 // Attempts.
 const (
+	stoodFrom   = 100 * time.Millisecond  // and two beats without any event: this gateway stood still
 	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
 	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
 	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
@@ -89,6 +90,9 @@
 // Handle takes one event at the time now and returns what is to be done, in order.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.out = nil
+	if gap := now - g.now; g.begun && gap > stoodFrom+2*g.beatEvery() {
+		g.stoodAt, g.stood = now, gap
+	}
 	g.now = max(now, g.now)
 	if !g.begun {
 		g.begun, g.started = true, g.now
@@ -551,6 +555,9 @@
 
 // saw notes how an own request fared and keeps it to be told.
 func (g *Gateway) saw(s *server, k *class, took time.Duration, missed bool) {
+	if g.now == g.stoodAt {
+		return // what was late here is not the server's fault
+	}
 	x := took.Seconds() / max(k.base, 1e-6)
 	g.note(s, k, x, missed)
 	g.news.add(sight{s.short, k.no, x, missed})
@@ -670,7 +677,7 @@
 	}
 	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline}
 	if k.LateWorth == 0 && !k.Stream && k.AimStretch == 0 {
-		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin))
+		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin-g.age(k, e)))
 	}
 	c := g.customer(shortKey(e.Customer), planNo)
 	if e.Spread > 0 && e.Spread <= g.cfg.Gateways && (c.spread != e.Spread || c.first != e.First) {
@@ -693,6 +700,22 @@
 	}
 }
 
+// age is how long a request waited here while this gateway stood still. By then all of that time's requests
+// come at once; the time a first try has left, against the most that one had, tells how old each is. What
+// can't make its aim any more is refused at once and singly. It should also catch a paused process; it could
+// harm where clients give their tries unequal times, by the time stood still at most.
+func (g *Gateway) age(k *class, e Request) time.Duration {
+	left := e.Deadline - g.now
+	if e.Again {
+		return 0 // it has less left for another reason
+	}
+	k.left = max(k.left, left)
+	if g.now != g.stoodAt {
+		return 0
+	}
+	return min(g.stood, k.left-left)
+}
+
 // decide ends the wait of a request: it is sent on if the quota has room and the servers have.
 func (g *Gateway) decide(r *request, room bool) {
 	s, cost := (*server)(nil), 0.0
--- a/decide/state.go
+++ b/decide/state.go
@@ -20,26 +20,27 @@
 
 // Gateway decides for one gateway. Make it with New.
 type Gateway struct {
-	cfg          Config
-	rng          *rand.Rand
-	now, started time.Duration
-	begun        bool
-	out          []Action
-	classes      map[string]*class
-	plans        map[string]int
-	servers      map[string]*server
-	order        []*server // by ID
-	requests     map[string]*request
-	timers       map[uint64]attemptRef
-	nextToken    uint64
-	customers    map[uint64]*customer
-	queue        []*customer // customers in the order of first sight, to sweep the idle
-	peers        []peer
-	epoch        int
-	budget       float64
-	done         rate    // answers of all servers
-	quickest     float64 // shortest aim of a class, seconds
-	value        float64 // usual worth per unit of work of what is let in
+	cfg            Config
+	rng            *rand.Rand
+	now, started   time.Duration
+	begun          bool
+	stoodAt, stood time.Duration // when this gateway last went on after standing still, and how long it had
+	out            []Action
+	classes        map[string]*class
+	plans          map[string]int
+	servers        map[string]*server
+	order          []*server // by ID
+	requests       map[string]*request
+	timers         map[uint64]attemptRef
+	nextToken      uint64
+	customers      map[uint64]*customer
+	queue          []*customer // customers in the order of first sight, to sweep the idle
+	peers          []peer
+	epoch          int
+	budget         float64
+	done           rate    // answers of all servers
+	quickest       float64 // shortest aim of a class, seconds
+	value          float64 // usual worth per unit of work of what is let in
 
 	mesh    bool                // everyone tells everyone
 	asks    map[uint64]*request // that wait for a home, by number
@@ -57,8 +58,9 @@
 type class struct {
 	Class
 	no   int
-	base float64 // usual seconds of an answer
-	n    float64 // answers seen
+	base float64       // usual seconds of an answer
+	n    float64       // answers seen
+	left time.Duration // the most time that a first try came with
 }
 
 // told is what one peer last said of a customer.
--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -86,3 +86,99 @@
 		t.Errorf("servers of twice the time got %v of the others' share, want about a half", x)
 	}
 }
+
+// TestAgeAfterStandingStill: a gateway that stood still finds all requests at once. Those too old for their aim are
+// refused, each at once, the others sent on; and the late answers it finds don't count against their servers.
+func TestAgeAfterStandingStill(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Limits.Peers = false })
+	r.serve("get", "wide", "c", 1) // comes with two seconds
+	id, s := r.send("get", "wide")
+	slow := r.g.servers[s.Server].slow
+	for i := 0; i < 3; i++ {
+		r.now += r.g.beatEvery()
+		r.do(TimerFired{beatToken})
+	}
+	r.now += 2*r.g.beatEvery() + 1500*ms
+	r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 1600 * ms, Done: true})
+	if got := r.g.servers[s.Server].slow; got != slow {
+		t.Errorf("a late answer found after standing still raised the server's slowness from %v to %v", slow, got)
+	}
+	for _, left := range []time.Duration{900 * ms, 1100 * ms, 1900 * ms} {
+		acts := r.do(Request{ID: left.String(), Class: "get", Plan: "wide", Customer: "c", Units: 1,
+			Deadline: r.now + left, Spread: 3})
+		if sent, want := len(find[Send](acts)), b2i(left > time.Second); sent != want || len(find[Refuse](acts)) != 1-want {
+			t.Errorf("with %v of 2 s left: sent %d, want %d, else a refusal: %v", left, sent, want, acts)
+		}
+	}
+}
+
+// TestGivenUpIsAnsweredAtOnce: whatever the reason, a request given up on has its final answer among the actions of
+// the event that decided it, far from its deadline, and a refusal tells within its limit when to come back.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	for name, give := range map[string]func(r *rig) []Action{
+		"beyond the quota": func(r *rig) []Action {
+			for r.serve("get", "small", "c", 4) {
+			}
+			_, acts := r.ask("get", "small", "c", 4)
+			return acts
+		},
+		"no server": func(r *rig) []Action {
+			r.do(FleetUpdate{Kind: FleetFull})
+			_, acts := r.ask("get", "wide", "c", 1)
+			return acts
+		},
+		"a jam": func(r *rig) []Action {
+			for i := 0; i < 200; i++ {
+				r.ask("get", "wide", "c", 1)
+			}
+			_, acts := r.ask("get", "wide", "c", 1)
+			return acts
+		},
+		"unanswered, not to be repeated": func(r *rig) []Action {
+			id, s := r.send("pay", "wide")
+			r.now += s.Timeout
+			return r.end(id, 0, s.Server, TimedOut)
+		},
+		"unanswered, safe, no time left": func(r *rig) []Action {
+			id, s := r.send("get", "wide")
+			r.now += s.Timeout
+			return r.end(id, 0, s.Server, TimedOut)
+		},
+	} {
+		r := newRig(t, func(c *Config) { c.Limits.Peers = false })
+		acts := give(r)
+		if len(find[Refuse](acts))+len(find[Fail](acts)) != 1 || len(find[Send](acts)) > 0 {
+			t.Errorf("%s: got %#v, want one final answer at once", name, acts)
+		}
+		for _, a := range find[Refuse](acts) {
+			if a.RetryAfter <= 0 || a.RetryAfter > r.g.cfg.Limits.MaxRetryAfter {
+				t.Errorf("%s: come back after %v, want more than 0, %v at most", name, a.RetryAfter,
+					r.g.cfg.Limits.MaxRetryAfter)
+			}
+		}
+		if len(r.g.requests) > 0 && name != "a jam" {
+			t.Errorf("%s: %d requests are still held", name, len(r.g.requests))
+		}
+	}
+}
+
+// TestRefusedByHomeIsAnsweredAtOnce: in a large fleet too, with the home's word, and from then on without asking.
+func TestRefusedByHomeIsAnsweredAtOnce(t *testing.T) {
+	j := join(t, 300, nil)
+	g := j.gws[3]
+	req := func(id string) []Action {
+		return g.Handle(j.now, Request{ID: id, Class: "get", Plan: "small", Customer: "far", Units: 4,
+			Deadline: j.now + 4*time.Second, Spread: 300})
+	}
+	req("first")
+	for no, r := range g.asks {
+		w := word{kind: 'r', key: r.cust.key, plan: r.cust.planNo, no: no, n: 4, v: [4]float64{0, 12, 9, 1}}
+		acts := g.Handle(j.now+20*ms, PeerMessage{From: g.home(r.cust.key, 0), Text: w.text()})
+		if len(find[Refuse](acts)) != 1 {
+			t.Errorf("refused by the home: got %#v, want one refusal at once", acts)
+		}
+	}
+	if acts := req("second"); len(find[Refuse](acts)) != 1 {
+		t.Errorf("while the home refuses: got %#v, want one refusal at once", acts)
+	}
+}
