--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,7 @@
 	askFirst   = 30 * time.Millisecond  // wait for a home's word, until round trips were seen ...
 	askWaits   = 2.0                    // ... then so many times the usual one, and askLeast more
 	askLeast   = 12 * time.Millisecond  // a turn or two of either side
-	homeSilent = 1 * time.Second        // a home that twice gave no answer is not asked for so long
+	homeSilent = 300 * time.Millisecond // a home that twice gave no answer is not asked for so long
 	grantsKept = 3 * time.Second        // a home knows for so long what it granted
 	grantUse   = 100 * time.Millisecond // a grant under a ceiling is used within this, which the slack bears
 	waitMost   = 30 * time.Second       // longest wait that a home puts on those it refuses
@@ -336,6 +336,16 @@
 	return (first + 1 + int(key>>18%uint64(g.cfg.Gateways-1))) % g.cfg.Gateways
 }
 
+// startsAt is how full the bucket of a customer not seen before is taken to be. A standby, asked as the first
+// home seems silent, may know nothing of what that granted: it passes on only what leaks from a full bucket.
+// It guards against homes that die, stand still or drop words in a rush; it harms those that had room.
+func (g *Gateway) startsAt(c *customer) float64 {
+	if !g.mesh && g.home(c.key, 0) != g.cfg.Rank {
+		return c.plan.Burst
+	}
+	return startLevel * c.plan.Burst
+}
+
 // ask gets the home's word on a request. Each home is asked twice, as words may be lost; one that was silent
 // is left out for a while. Without any word the gateway's own bucket decides, but nothing passes a ceiling.
 func (g *Gateway) ask(r *request) {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -324,3 +324,32 @@
 		}
 	}
 }
+
+// TestStandbyPassesOnOnlyWhatLeaks: a standby that is asked about a customer it does not know hands out no fresh
+// quota, only what leaks; the first home starts at half.
+func TestStandbyPassesOnOnlyWhatLeaks(t *testing.T) {
+	j := join(t, 300, nil)
+	key := shortKey("someone")
+	g := j.gws[0]
+	ask := func(home, no int) bool {
+		w := word{kind: 'a', key: key, plan: 1, no: uint64(no), n: 1, v: [4]float64{2}}
+		for _, a := range find[Tell](j.gws[home].Handle(j.now, PeerMessage{From: 9, Text: w.text()})) {
+			if r, ok := parseWord(a.Text); ok && r.kind == 'r' {
+				return r.v[0] > 0
+			}
+		}
+		t.Fatalf("home %d gave no word", home)
+		return false
+	}
+	first, second := g.home(key, 0), g.home(key, 1)
+	if !ask(first, 1) {
+		t.Error("the first home refused at the start, want half of the mark")
+	}
+	if ask(second, 1) {
+		t.Error("a standby that knows nothing let in at once")
+	}
+	j.now += time.Second // at three units a second
+	if !ask(second, 2) || ask(second, 3) {
+		t.Error("after a second the standby should let in what leaked, and no more")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -244,7 +244,7 @@
 		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
 	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
 	if !g.mesh {
-		c.whole = startLevel * p.Burst
+		c.whole = g.startsAt(c)
 	}
 	c.level = c.part * startLevel * p.Burst // leaks, and the store fills, from the start on
 	g.customers[key] = c
