--- a/decide/decide.go
+++ b/decide/decide.go
@@ -399,7 +399,7 @@
 		if d.from == from && d.no == no {
 			return d.ok, c.wait
 		}
-		d.out = d.out && (g.now-d.at).Seconds() < g.quickest
+		d.out = d.out && g.now-d.at < g.longest // it is given up on by then
 		out += b2i(d.out)
 	}
 	c.grants = slices.DeleteFunc(c.grants, func(d grant) bool { return g.now-d.at > grantsKept })
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -353,3 +353,36 @@
 		t.Error("after a second the standby should let in what leaked, and no more")
 	}
 }
+
+// TestHomeHoldsCapWhileAnswersAreSlow: what a home granted under a cap on attempts out counts until it was told of the
+// end, or nobody can wait for it any more: slow servers keep attempts out longer than the quickest class waits.
+func TestHomeHoldsCapWhileAnswersAreSlow(t *testing.T) {
+	j := join(t, 300, func(c *Config) {
+		c.Classes = append(c.Classes, Class{Name: "quick", Effect: Safe, Aim: 200 * ms, Deadline: time.Second, Worth: 1})
+	})
+	key, no := shortKey("someone"), uint64(0)
+	home := j.gws[j.gws[0].home(key, 0)]
+	asked := func(n int) (granted int) {
+		for i := 0; i < n; i++ {
+			no++
+			w := word{kind: 'a', key: key, plan: 3, no: no, n: 1, v: [4]float64{1}}
+			for _, a := range find[Tell](home.Handle(j.now, PeerMessage{From: 9, Text: w.text()})) {
+				if r, ok := parseWord(a.Text); ok && r.kind == 'r' && r.v[0] > 0 {
+					granted++
+				}
+			}
+		}
+		return granted
+	}
+	if n := asked(5); n != 3 {
+		t.Errorf("%d of 5 granted under a cap of 3", n)
+	}
+	j.now += 500 * ms
+	if n := asked(2); n > 0 {
+		t.Errorf("%d more granted while three may still be out", n)
+	}
+	j.now += 600 * ms
+	if n := asked(2); n != 2 {
+		t.Errorf("%d of 2 granted after all were given up on", n)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -38,9 +38,10 @@
 	peers          []peer
 	epoch          int
 	budget         float64
-	done           rate    // answers of all servers
-	quickest       float64 // shortest aim of a class, seconds
-	value          float64 // usual worth per unit of work of what is let in
+	done           rate          // answers of all servers
+	quickest       float64       // shortest aim of a class, seconds
+	longest        time.Duration // longest aim of a class
+	value          float64       // usual worth per unit of work of what is let in
 
 	mesh    bool                // everyone tells everyone
 	asks    map[uint64]*request // that wait for a home, by number
@@ -174,6 +175,7 @@
 	}
 	for i, k := range cfg.Classes {
 		g.classes[k.Name] = &class{no: i, Class: k, base: firstGuess * k.Aim.Seconds()}
+		g.longest = max(g.longest, k.Aim)
 		if g.quickest == 0 || k.Aim.Seconds() < g.quickest {
 			g.quickest = k.Aim.Seconds()
 		}
