--- a/decide/decide.go
+++ b/decide/decide.go
@@ -826,19 +826,22 @@
 		}
 		return
 	}
-	g.again(r, s)
+	g.again(r, s, 1)
 }
 
-// again sends a further attempt if the rules, the budget and the time left allow one.
-func (g *Gateway) again(r *request, last *server) bool {
-	if g.budget < 1 || len(r.attempts) >= g.cfg.Limits.MaxAttempts || (r.out > 0 && !g.cfg.Limits.Parallel) {
+// again sends a further attempt if the rules, the time left and the retry budget, of which it takes the
+// price, allow one. The budget guards servers against work done twice; where none got any, the next attempt
+// is free. This should catch servers that are down, full of connections or behind a cut link.
+func (g *Gateway) again(r *request, last *server, price float64) bool {
+	most, overlaps := g.cfg.Limits.MaxAttempts, r.out > 0 && !g.cfg.Limits.Parallel
+	if g.budget < price || len(r.attempts) >= most || overlaps {
 		return false
 	}
 	s, cost := g.choose(r, last)
 	if s == nil || cost > (r.until-g.now).Seconds() || (r.out > 0 && s == last) {
 		return false
 	}
-	g.budget--
+	g.budget -= price
 	g.send(r, s)
 	return true
 }
@@ -875,7 +878,11 @@
 		r.cust.store += r.units
 		r.more = -r.units
 	}
-	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server)) {
+	price := 1.0
+	if e.Outcome == NoConnection {
+		price = 0 // it cost no server anything
+	}
+	if r.out > 0 || (e.Outcome != Moot && g.again(r, a.server, price)) {
 		return
 	}
 	g.giveUp(r)
--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -182,3 +182,17 @@
 		t.Errorf("while the home refuses: got %#v, want one refusal at once", acts)
 	}
 }
+
+// TestNoConnectionCostsNoRetryBudget: without any budget left a request whose attempt got no connection, so cost no
+// server anything, is sent elsewhere; one that timed out is not.
+func TestNoConnectionCostsNoRetryBudget(t *testing.T) {
+	for outcome, want := range map[Outcome]int{NoConnection: 1, Reset: 0} {
+		r := newRig(t, func(c *Config) { c.Limits.Peers = false })
+		r.g.budget = 0
+		id, s := r.send("get", "wide")
+		r.now += 3 * ms
+		if got := len(find[Send](r.end(id, 0, s.Server, outcome))); got != want {
+			t.Errorf("outcome %d without retry budget: %d further attempts, want %d", outcome, got, want)
+		}
+	}
+}
