--- a/decide/decide.go
+++ b/decide/decide.go
@@ -191,9 +191,11 @@
 		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
 }
 
+// room reports whether this gateway's part of rate and cap bears the units. Its part of the cap on attempts
+// out is rounded down, though one may always be out: rounded up, all gateways together are far beyond it.
 func (c *customer) room(units float64) bool {
 	return (c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst) &&
-		(c.plan.MaxOpen == 0 || float64(c.open) < math.Ceil(c.part*float64(c.plan.MaxOpen)))
+		(c.plan.MaxOpen == 0 || float64(c.open) < max(1, math.Floor(c.part*float64(c.plan.MaxOpen))))
 }
 
 // meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -278,6 +278,17 @@
 	r.send("get", "open")
 }
 
+// TestOpenCapIsRoundedDown: of a cap of four three gateways may not have two out each, yet one each.
+func TestOpenCapIsRoundedDown(t *testing.T) {
+	r := newRig(t, func(c *Config) { c.Plans[3].MaxOpen = 4 })
+	r.send("get", "open")
+	if _, acts := r.ask("get", "open", "c", 1); len(find[Refuse](acts)) != 1 {
+		t.Errorf("a second attempt out with a third of 4: got %#v, want Refuse", acts)
+	}
+	r = newRig(t, func(c *Config) { c.Plans[3].MaxOpen = 2 })
+	r.send("get", "open") // a third of 2 is less than one, but one may always be out
+}
+
 func TestCeiling(t *testing.T) {
 	r := newRig(t, nil)
 	if _, acts := r.ask("get", "hard", "x", 8); len(find[Send](acts)) != 0 {
