--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -386,3 +386,40 @@
 		t.Errorf("%d of 2 granted after all were given up on", n)
 	}
 }
+
+// TestRestartsHandOutNoFreshQuota: nine of ten gateways restart, twice; each time a home may be taken for half full.
+func TestRestartsHandOutNoFreshQuota(t *testing.T) {
+	for _, n := range []int{3, 300} {
+		j := join(t, n, nil)
+		j.run(3*time.Second, 100*ms, "small", 0, func(int) int { return 0 })
+		for k := 0; k < 3; k++ {
+			if k > 0 {
+				for i := range j.gws {
+					if j.rnd.Float64() < 0.9 {
+						j.start(i)
+					}
+				}
+			}
+			j.run(5*time.Second, 170*ms, "small", 2, func(int) int { return j.rnd.Intn(n) })
+		}
+		const rate, burst, secs = 3.0, 12.0, 15.0
+		if most := 1.15 * (rate*secs + burst + 2*startLevel*burst); j.used > most || j.used < 0.7*rate*secs {
+			t.Errorf("%d gateways: used %v in 15 s, want %v to %v", n, j.used, 0.7*rate*secs, most)
+		}
+	}
+}
+
+// TestSetOutsideTheFleet: a set of no gateways or more than there are is not taken; a first number beyond the last
+// is counted round.
+func TestSetOutsideTheFleet(t *testing.T) {
+	r := newRig(t, nil)
+	for i, set := range [][2]int{{0, 0}, {1, -2}, {2, 9}, {7, 2}} {
+		id := fmt.Sprint("set", i)
+		acts := r.do(Request{ID: id, Class: "get", Plan: "wide", Customer: id, Units: 1, Deadline: r.now + 2*time.Second,
+			First: set[0], Spread: set[1]})
+		c := r.g.customers[shortKey(id)]
+		if c.spread < 1 || c.spread > 3 || c.first < 0 || c.first > 2 || len(find[Send](acts)) != 1 {
+			t.Errorf("first %d, spread %d: taken as %d of %d, did %#v", set[0], set[1], c.spread, c.first, acts)
+		}
+	}
+}
