--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,368 @@
+// Package config reads the settings of a fleet of gateways from a KDL document into a checked Fleet. The
+// gateway, the checker and the replayer all load by Load, so what one accepts every other does.
+package config
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"sort"
+	"time"
+
+	"winghatch/config/kdl"
+	"winghatch/decide"
+	"winghatch/keys"
+)
+
+// Fleet is all settings that the gateways of a fleet share.
+type Fleet struct {
+	Name     string
+	Secret   keys.Secret // of the keyed hashes of members' keys and of peers' datagrams
+	Decide   decide.Config
+	Gateways []Gateway // by rank
+	Members  []Member
+	List     string // address of the node list; empty: none
+	ListKept string // file that keeps the last list, %d stands for the rank; empty: none is kept
+	Caps     Caps
+	Log      Log
+}
+
+// Gateway is one gateway's place.
+type Gateway struct {
+	Zone   string
+	Listen string // clients' WebSocket, host:port
+	Peer   string // peers' datagrams; empty if the fleet has none
+	State  string // what `winghatch state` asks; empty: nothing listens
+}
+
+// Member is a customer.
+type Member struct {
+	Name, Plan    string
+	First, Spread int           // its entry gateways: rank of the first, and how many
+	Keys          []keys.Digest // of the keys it presents
+}
+
+// Caps bound what may wait or stay open. Times are how long a peer may take.
+type Caps struct {
+	Sessions     int // of clients
+	Open         int // calls, over all sessions
+	SessionOpen  int // calls of one session
+	Batch        int // calls in one message
+	Message      int // bytes
+	Queue        int // bytes that wait for one peer
+	Handshake    time.Duration
+	Write        time.Duration
+	NodeConns    int // connections to one node
+	NodeCalls    int // calls at once on one of them
+	NodeIdle     time.Duration
+	PeerDatagram int // bytes
+}
+
+// Log says what the log looks like.
+type Log struct {
+	JSON  bool
+	Level string
+}
+
+// Rank returns the decisions' settings of one gateway.
+func (f *Fleet) Rank(n int) (decide.Config, error) {
+	c := f.Decide
+	if n < 0 || n >= len(f.Gateways) {
+		return c, fmt.Errorf("rank: %d, want 0 to %d", n, len(f.Gateways)-1)
+	}
+	c.Rank, c.Zone = n, f.Gateways[n].Zone
+	return c, c.Validate()
+}
+
+// Load reads a file.
+func Load(file string) (*Fleet, error) {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, src)
+}
+
+// Parse reads a document; file is only named in errors. The error holds all that is wrong.
+func Parse(file string, src []byte) (*Fleet, error) {
+	nodes, err := kdl.Parse(file, src)
+	if err != nil {
+		var e *kdl.Error
+		if errors.As(err, &e) {
+			return nil, Errors{{file, e.Pos, "document", e.Text}}
+		}
+		return nil, err
+	}
+	d := &decoder{file: file}
+	f := defaults()
+	found := 0
+	for _, n := range nodes {
+		if n.Name != "fleet" {
+			d.fail(n.Pos, n.Name, "%q is not known, want one node named \"fleet\"", n.Name)
+		} else if found++; found > 1 {
+			d.fail(n.Pos, "fleet", "given before, want one")
+		} else {
+			d.fleet(f, n)
+		}
+	}
+	if found == 0 {
+		d.fail(kdl.Pos{Line: 1, Column: 1}, "fleet", "missing")
+	}
+	if len(d.errs) > 0 {
+		slices.SortStableFunc(d.errs, func(a, b *Error) int {
+			if a.Pos.Line != b.Pos.Line {
+				return a.Pos.Line - b.Pos.Line
+			}
+			return a.Pos.Column - b.Pos.Column
+		})
+		return nil, d.errs
+	}
+	for rank := range f.Gateways {
+		if _, err := f.Rank(rank); err != nil {
+			return nil, Errors{{file, nodes[0].Pos, "fleet", err.Error()}}
+		}
+	}
+	return f, nil
+}
+
+func defaults() *Fleet {
+	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10,
+		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, NodeConns: 4, NodeCalls: 256,
+		NodeIdle: 30 * time.Second, PeerDatagram: 512}, Log: Log{Level: "info"}}
+	f.Decide.Limits = decide.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true,
+		MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond}
+	f.Decide.Safety = decide.Safety{AnswerSlack: 20 * time.Millisecond, DrainGrace: 250 * time.Millisecond}
+	return f
+}
+
+const most = math.MaxInt32
+
+func (d *decoder) fleet(f *Fleet, n *kdl.Node) {
+	f.Name = d.named("fleet", n, map[string]bool{})
+	c := &f.Decide
+	zones := map[string]bool{}
+	classNames, planNames, memberNames := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	type plannedMember struct {
+		at  string
+		pos kdl.Pos
+		m   Member
+	}
+	var members []plannedMember
+	d.block("", n, fields{
+		"secret":     d.secret(&f.Secret),
+		"list":       address(&f.List),
+		"list-kept":  text(&f.ListKept),
+		"max-units":  number(&c.MaxUnits, 0, most),
+		"settled":    flag(&c.SettledLater),
+		"intake":     rate(&c.PeerIntake),
+		"log":        choice(&f.Log.JSON, map[string]bool{"json": true, "text": false}),
+		"log-level":  choice(&f.Log.Level, map[string]string{"debug": "debug", "info": "info", "warn": "warn", "error": "error"}),
+		"subscribed": flag(&c.Subscribe),
+	}, blocks{
+		"zone": func(at string, n *kdl.Node) { d.named(at, n, zones) },
+		"class": func(at string, n *kdl.Node) {
+			c.Classes = append(c.Classes, d.class(d.named(at, n, classNames), n))
+		},
+		"plan": func(at string, n *kdl.Node) {
+			c.Plans = append(c.Plans, d.plan(d.named(at, n, planNames), n))
+		},
+		"gateway": func(at string, n *kdl.Node) { f.Gateways = append(f.Gateways, d.gateway(at, n, zones)) },
+		"member": func(at string, n *kdl.Node) {
+			name := d.named(at, n, memberNames)
+			members = append(members, plannedMember{"member " + name, n.Pos, d.member(name, n)})
+		},
+		"limits": func(at string, n *kdl.Node) { d.limits(at, n, &c.Limits) },
+		"safety": func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
+		"prices": func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
+		"caps":   func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
+	}, "secret")
+	c.Gateways = len(f.Gateways)
+	if len(f.Gateways) == 0 {
+		d.fail(n.Pos, "gateway", "missing, want one or more")
+	}
+	owner := map[keys.Digest]string{}
+	for _, p := range members {
+		if !planNames[p.m.Plan] && p.m.Plan != "" {
+			d.fail(p.pos, p.at+".plan", "%q, want one of %s", p.m.Plan, list(planNames))
+		}
+		if p.m.First >= len(f.Gateways) || p.m.Spread > len(f.Gateways) {
+			d.fail(p.pos, p.at+".spread", "first %d and spread %d, want gateways 0 to %d", p.m.First, p.m.Spread,
+				len(f.Gateways)-1)
+		}
+		if p.m.Spread == 0 {
+			p.m.Spread = len(f.Gateways)
+		}
+		for _, k := range p.m.Keys {
+			if o := owner[k]; o != "" {
+				d.fail(p.pos, p.at+".key", "%s, the key of %s", k, o)
+			}
+			owner[k] = p.m.Name
+		}
+		f.Members = append(f.Members, p.m)
+	}
+	for i, g := range f.Gateways {
+		if c.Limits.Peers && g.Peer == "" {
+			d.fail(n.Pos, fmt.Sprintf("gateway[%d].peer", i), "missing, limits.peers is #true")
+		}
+	}
+	if c.Limits.Peers && c.PeerIntake == 0 {
+		d.fail(n.Pos, "intake", "missing, limits.peers is #true")
+	}
+}
+
+func (d *decoder) secret(to *keys.Secret) func(setting) {
+	return func(s setting) {
+		raw, err := hex.DecodeString(s.value.Text)
+		if err != nil || len(raw) != len(to) {
+			s.d.fail(s.value.Pos, s.field, "%d characters, want %d hexadecimal ones (winghatch key secret makes them)",
+				len(s.value.Text), 2*len(to))
+			return
+		}
+		copy(to[:], raw)
+	}
+}
+
+func (d *decoder) class(name string, n *kdl.Node) decide.Class {
+	k := decide.Class{Name: name, Worth: 1, Group: decide.GroupAll}
+	at := "class " + name
+	group := false
+	d.block(at, n, fields{
+		"effect": choice(&k.Effect, map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}),
+		"group": func(s setting) {
+			group = true
+			choice(&k.Group, map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell})(s)
+		},
+		"window":     duration(&k.Window, time.Millisecond),
+		"aim":        duration(&k.Aim, time.Millisecond),
+		"deadline":   duration(&k.Deadline, time.Millisecond),
+		"worth":      number(&k.Worth, 0, most),
+		"late-worth": number(&k.LateWorth, 0, 1),
+	}, nil, "effect", "aim", "deadline")
+	switch {
+	case k.Effect == decide.Keyed && k.Window == 0:
+		d.fail(n.Pos, at+".window", "missing, the effect is keyed")
+	case k.Effect != decide.Keyed && (k.Window > 0 || group):
+		d.fail(n.Pos, at+".effect", "not keyed, yet window or group is given")
+	case k.Deadline > 0 && k.Deadline < k.Aim:
+		d.fail(n.Pos, at+".deadline", "%v, want the aim of %v or more", k.Deadline, k.Aim)
+	}
+	return k
+}
+
+func (d *decoder) plan(name string, n *kdl.Node) decide.Plan {
+	p := decide.Plan{Name: name, Price: 1}
+	at := "plan " + name
+	d.block(at, n, fields{
+		"rate": rate(&p.Rate), "burst": number(&p.Burst, 0, most),
+		"ceiling-rate": rate(&p.CeilingRate), "ceiling-burst": number(&p.CeilingBurst, 0, most),
+		"ceiling-slack": number(&p.CeilingSlack, 0, most), "max-open": whole(&p.MaxOpen, 0, most),
+		"price": number(&p.Price, 0, most), "over-worth": number(&p.OverWorth, 0, most),
+		"over-cost": number(&p.OverCost, 0, most),
+	}, nil)
+	if (p.Rate > 0) != (p.Burst > 0) {
+		d.fail(n.Pos, at+".burst", "rate %v and burst %v, want both or neither", p.Rate, p.Burst)
+	}
+	if (p.CeilingRate > 0) != (p.CeilingBurst > 0) {
+		d.fail(n.Pos, at+".ceiling-burst", "rate %v and burst %v, want both or neither", p.CeilingRate, p.CeilingBurst)
+	}
+	if p.CeilingRate > 0 && p.CeilingRate < p.Rate {
+		d.fail(n.Pos, at+".ceiling-rate", "%v, want the rate of %v or more", p.CeilingRate, p.Rate)
+	}
+	return p
+}
+
+func (d *decoder) gateway(at string, n *kdl.Node, zones map[string]bool) Gateway {
+	var g Gateway
+	d.plain(at, n)
+	d.block(at, n, fields{"listen": address(&g.Listen), "peer": address(&g.Peer), "state": address(&g.State),
+		"zone": func(s setting) {
+			if text(&g.Zone)(s); len(zones) > 0 && !zones[g.Zone] {
+				s.wrong("one of " + list(zones))
+			}
+		}}, nil, "listen")
+	return g
+}
+
+func (d *decoder) member(name string, n *kdl.Node) Member {
+	m := Member{Name: name}
+	d.block("member "+name, n, fields{"plan": text(&m.Plan), "first": whole(&m.First, 0, most),
+		"spread": whole(&m.Spread, 1, most)},
+		blocks{"key": func(at string, n *kdl.Node) {
+			for _, v := range n.Args {
+				k, err := keys.ParseDigest(v.Text)
+				if err != nil {
+					d.fail(v.Pos, "member "+name+".key", "%s, %v", v, err)
+					continue
+				}
+				m.Keys = append(m.Keys, k)
+			}
+		}}, "plan")
+	if len(m.Keys) == 0 {
+		d.fail(n.Pos, "member "+name+".key", "missing, want one or more (winghatch key new makes them)")
+	}
+	return m
+}
+
+func (d *decoder) limits(at string, n *kdl.Node, l *decide.Limits) {
+	d.plain(at, n)
+	d.block(at, n, fields{"attempts": whole(&l.MaxAttempts, 1, 100), "parallel": flag(&l.Parallel),
+		"cancel": flag(&l.Cancel), "peers": flag(&l.Peers), "retry-after": flag(&l.RetryAfter),
+		"max-retry-after": duration(&l.MaxRetryAfter, 0),
+		"connect-timeout": duration(&l.ConnectTimeout, time.Millisecond)}, nil)
+}
+
+func (d *decoder) safety(at string, n *kdl.Node, s *decide.Safety) {
+	d.plain(at, n)
+	d.block(at, n, fields{"answer-slack": duration(&s.AnswerSlack, 0), "drain-grace": duration(&s.DrainGrace, 0),
+		"cold-from": number(&s.ColdFrom, 0, 1), "cold-for": duration(&s.ColdFor, 0),
+		"fall-multiple": number(&s.FallMultiple, 0, most), "fall-window": duration(&s.FallWindow, 0),
+		"ask-within": duration(&s.AskWithin, 0)}, nil)
+}
+
+func (d *decoder) prices(at string, n *kdl.Node, p *decide.Prices) {
+	d.plain(at, n)
+	d.block(at, n, fields{"cross-zone": number(&p.CrossZone, 0, most), "waste": number(&p.Waste, 0, most),
+		"probe": number(&p.Probe, 0, most), "peer": number(&p.Peer, 0, most),
+		"late-fail": number(&p.LateFail, 0, most), "counter": number(&p.Counter, 0, most)}, nil)
+}
+
+func (d *decoder) caps(at string, n *kdl.Node, c *Caps) {
+	d.plain(at, n)
+	d.block(at, n, fields{"sessions": whole(&c.Sessions, 1, most), "open": whole(&c.Open, 1, most),
+		"session-open": whole(&c.SessionOpen, 1, most), "batch": whole(&c.Batch, 1, most),
+		"message": size(&c.Message), "queue": size(&c.Queue), "handshake": duration(&c.Handshake, time.Millisecond),
+		"write": duration(&c.Write, time.Millisecond), "node-connections": whole(&c.NodeConns, 1, 1024),
+		"node-calls": whole(&c.NodeCalls, 1, most), "node-idle": duration(&c.NodeIdle, time.Millisecond)}, nil)
+}
+
+func list(m map[string]bool) string {
+	s := ""
+	for i, k := range sorted(m) {
+		if i > 0 {
+			s += ", "
+		}
+		s += k
+	}
+	if s == "" {
+		return "none (none is given)"
+	}
+	return s
+}
+
+func sorted[T any](m map[string]T) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func names(f fields, b blocks) []string {
+	out := append(sorted(f), sorted(b)...)
+	sort.Strings(out)
+	return out
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -308,6 +308,21 @@
 func (PeerMessage) event()   {}
 func (Counted) event()       {}
 
+// Reason tells refusals apart, for operators; clients need none of it.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	OverMark   Reason = "over_mark" // the customer's bucket is over its mark
+	OverCap    Reason = "over_cap"  // its attempts out are
+	OverTop    Reason = "over_ceiling"
+	Shed       Reason = "shed"      // the servers are pressed and others are worth more
+	Hopeless   Reason = "hopeless"  // an answer can't be in time
+	NoServer   Reason = "no_server" // none may take it
+	InVain     Reason = "in_vain"   // attempts were made, none of which ran
+	NotOffered Reason = "not_offered"
+)
+
 // Action is something that a gateway wants done.
 type Action interface{ action() }
 
@@ -326,6 +341,7 @@
 	Refuse struct {
 		ID         string
 		RetryAfter time.Duration // 0: no advice
+		Reason     Reason
 	}
 	// Fail is a final answer that promises nothing.
 	Fail struct{ ID string }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,15 +187,23 @@
 		c.askedTold = c.askedSum
 		g.tellSoon(c, 0, len(g.peers)) // what was sent on is told at once, what was only asked by the step
 	}
-	return c.room(r.units) && (c.plan.CeilingRate == 0 || // an even slice of the store, empty at a start
-		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) >= r.units)
+	if r.why = c.lacks(r.units); r.why == "" && c.plan.CeilingRate > 0 && // an even slice, empty at a start
+		c.store+slackPart*c.plan.CeilingSlack/float64(c.spread) < r.units {
+		r.why = OverTop
+	}
+	return r.why == ""
 }
 
-// room reports whether this gateway's part of rate and cap bears the units. Its part of the cap on attempts
-// out is rounded down, though one may always be out: rounded up, all gateways together are far beyond it.
-func (c *customer) room(units float64) bool {
-	return (c.plan.Rate == 0 || c.level+c.part*units <= c.part*c.plan.Burst) &&
-		(c.plan.MaxOpen == 0 || float64(c.open) < max(1, math.Floor(c.part*float64(c.plan.MaxOpen))))
+// lacks tells what of this gateway's part, of rate or cap, does not bear the units. Its part of the cap on
+// attempts out is rounded down, though one may always be out: rounded up, all gateways are far beyond it.
+func (c *customer) lacks(units float64) Reason {
+	switch {
+	case c.plan.Rate > 0 && c.level+c.part*units > c.part*c.plan.Burst:
+		return OverMark
+	case c.plan.MaxOpen > 0 && float64(c.open) >= max(1, math.Floor(c.part*float64(c.plan.MaxOpen))):
+		return OverCap
+	}
+	return ""
 }
 
 // meter takes what an answer tells of the customer's use; it decides the part where peers are silent.
@@ -374,7 +382,10 @@
 	}
 	r.asking = false
 	g.leak(c)
-	g.decide(r, c.plan.CeilingRate == 0 && c.room(r.units))
+	if r.why = c.lacks(r.units); c.plan.CeilingRate > 0 {
+		r.why = OverTop
+	}
+	g.decide(r, r.why == "")
 }
 
 // unheard takes that a home gave no answer in time. A gateway that itself stood still waits a little more:
@@ -684,10 +695,10 @@
 	}
 	k, planNo, ok := g.classes[e.Class], 0, false
 	if planNo, ok = g.plans[e.Plan]; k == nil || !ok {
-		g.do(Refuse{ID: e.ID})
+		g.do(Refuse{ID: e.ID, Reason: NotOffered})
 		return
 	}
-	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline}
+	r := &request{Request: e, class: k, units: max(0, e.Units), until: e.Deadline, why: OverMark}
 	if k.LateWorth == 0 && !k.Stream && k.AimStretch == 0 {
 		r.until = min(e.Deadline, g.now+max(0, k.Aim-aimMargin-g.age(k, e)))
 	}
@@ -702,7 +713,9 @@
 	case g.mesh:
 		g.decide(r, g.admit(c, r))
 	case c.shut > g.now || g.shed(r): // a home is not asked in vain
-		c.asked.add(g.now, r.units)
+		if c.asked.add(g.now, r.units); c.shut <= g.now {
+			r.why = Shed
+		}
 		g.decide(r, false)
 	default:
 		c.asked.add(g.now, r.units)
@@ -734,9 +747,18 @@
 	if room {
 		s, cost = g.choose(r, nil)
 	}
-	if s == nil || cost > shedTo*(r.until-g.now).Seconds() || (g.mesh && g.shed(r)) {
+	switch {
+	case !room:
+	case s == nil:
+		r.why = NoServer
+	case cost > shedTo*(r.until-g.now).Seconds():
+		r.why, s = Hopeless, nil
+	case g.mesh && g.shed(r):
+		r.why, s = Shed, nil
+	}
+	if s == nil {
 		r.more = -r.units
-		g.refuse(r.ID)
+		g.refuse(r.ID, r.why)
 		g.finish(r)
 		return
 	}
@@ -777,8 +799,8 @@
 	return g.pressed() > shedFrom+(1-shedFrom)*min(1, value/max(g.value, 1e-9))
 }
 
-func (g *Gateway) refuse(id string) {
-	a := Refuse{ID: id}
+func (g *Gateway) refuse(id string, why Reason) {
+	a := Refuse{ID: id, Reason: why}
 	if g.cfg.Limits.RetryAfter {
 		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, retryAdvice)
 	}
@@ -942,7 +964,7 @@
 	promise := r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, mayRun) ||
 		(r.class.Effect == Keyed && r.class.Group == GroupAll)
 	if promise && r.out == 0 {
-		g.refuse(r.ID)
+		g.refuse(r.ID, InVain)
 	} else {
 		g.do(Fail{r.ID})
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -155,6 +155,7 @@
 	asking              bool
 	granted             int     // the home that let it in, or -1
 	more                float64 // units used beyond those told at first
+	why                 Reason  // of its refusal, if it comes to that
 }
 
 const beatToken = 1 // timer of the beat; tokens above it name attempts and questions
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,54 @@
+// Package front holds what every front of the gateway makes of its clients' bytes: calls, and the one final
+// answer of each. Fronts know no quotas and choose nothing.
+package front
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Kind is a final answer's.
+type Kind int
+
+// The kinds of final answer.
+const (
+	Served  Kind = iota
+	Refused      // harmless to repeat
+	Failed       // promises nothing
+)
+
+func (k Kind) String() string { return [...]string{"served", "refused", "failed"}[k] }
+
+// Final is the one final answer of a call.
+type Final struct {
+	Kind       Kind
+	Body       json.RawMessage // of a served one
+	Units      float64
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Call is what a front makes of a client's message.
+type Call struct {
+	ID       string // of the gateway's own making, never used twice
+	Class    string
+	Plan     string
+	Member   string
+	Key      string // by which nodes know a repeat; empty: none
+	Units    float64
+	Deadline time.Duration // by the gateway's clock
+	First    int
+	Spread   int
+	Again    bool
+	Write    bool
+	Work     json.RawMessage // the work's own fields
+	Done     func(Final)     // called at most once, by the loop; must not block
+}
+
+// Core takes calls; the gateway's loop does.
+type Core interface {
+	// Enter counts a call in, or reports that the cap on open calls is reached.
+	Enter() bool
+	Call(*Call)
+	Gone(id string)
+}
--- /dev/null
+++ b/front/websocket/server.go
@@ -0,0 +1,238 @@
+// Package websocket is the front for clients: WebSocket sessions (RFC 6455) that carry JSON-RPC 2.0, a call a
+// message of work, its class as the method. A client is known by its key at the upgrade.
+package websocket
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/front"
+	"winghatch/keys"
+	"winghatch/link"
+	"winghatch/ws"
+)
+
+const protocol = "jsonrpc"
+
+// Server takes clients' connections.
+type Server struct {
+	core       front.Core
+	clock      func() time.Duration
+	log        *slog.Logger
+	caps       config.Caps
+	rank, size int
+	maxUnits   float64
+	retryAfter time.Duration
+	classes    map[string]*decide.Class
+	members    []config.Member
+	book       *keys.Book
+	prefix     string
+	ids        atomic.Uint64
+
+	draining atomic.Bool
+	mu       sync.Mutex
+	ln       net.Listener
+	conns    map[net.Conn]*session // nil while its handshake is under way
+	turned   map[string]int64
+	wg       sync.WaitGroup
+}
+
+// New returns a server for one gateway of a fleet. prefix begins the ids of its calls and must differ from
+// life to life.
+func New(f *config.Fleet, rank int, prefix string, core front.Core, clock func() time.Duration, log *slog.Logger) *Server {
+	s := &Server{core: core, clock: clock, log: log, caps: f.Caps, rank: rank, size: len(f.Gateways),
+		maxUnits: f.Decide.MaxUnits, classes: map[string]*decide.Class{}, members: f.Members,
+		book: keys.NewBook(f.Secret), prefix: prefix, conns: map[net.Conn]*session{}, turned: map[string]int64{}}
+	if f.Decide.Limits.RetryAfter {
+		s.retryAfter = f.Decide.Limits.MaxRetryAfter
+	}
+	for i := range f.Decide.Classes {
+		s.classes[f.Decide.Classes[i].Name] = &f.Decide.Classes[i]
+	}
+	for i, m := range f.Members {
+		for _, d := range m.Keys {
+			s.book.Add(d, i)
+		}
+	}
+	return s
+}
+
+func (s *Server) nextID() string { return s.prefix + strconv.FormatUint(s.ids.Add(1), 36) }
+
+func (s *Server) turnedAway(why string) {
+	s.mu.Lock()
+	s.turned[why]++
+	s.mu.Unlock()
+}
+
+// TurnedAway tells how many calls and handshakes the front itself turned away, by reason.
+func (s *Server) TurnedAway() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int64{}
+	for k, v := range s.turned {
+		out[k] = v
+	}
+	return out
+}
+
+// Sessions is how many connections are held.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Serve takes connections until Drain or Close.
+func (s *Server) Serve(ln net.Listener) {
+	s.mu.Lock()
+	s.ln = ln
+	s.mu.Unlock()
+	for wait := time.Millisecond; ; {
+		nc, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.log.Warn("a connection can't be taken", "err", err) // such as no more file descriptors
+			time.Sleep(wait)
+			wait = min(2*wait, time.Second)
+			continue
+		}
+		wait = time.Millisecond
+		s.mu.Lock()
+		full := len(s.conns) >= s.caps.Sessions || s.draining.Load()
+		if !full {
+			s.conns[nc] = nil
+			s.wg.Add(1)
+		}
+		s.mu.Unlock()
+		if full {
+			s.turnedAway("sessions_cap")
+			nc.SetWriteDeadline(time.Now().Add(time.Second))
+			nc.Write((&ws.Refusal{Status: 503, Reason: "no more sessions"}).Response())
+			nc.Close()
+			continue
+		}
+		go s.session(nc)
+	}
+}
+
+func (s *Server) session(nc net.Conn) {
+	defer s.wg.Done()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, nc)
+		s.mu.Unlock()
+	}()
+	br := bufio.NewReaderSize(nc, 1<<10)
+	c := s.open(nc, br)
+	if c == nil {
+		nc.Close()
+		return
+	}
+	s.mu.Lock()
+	s.conns[nc] = c
+	s.mu.Unlock()
+	if s.draining.Load() {
+		c.link.Close(ws.CodeGoingAway, "this gateway stops")
+	}
+	c.run()
+}
+
+// open does the handshake. Until it is done the peer costs a goroutine and a small buffer, for a bounded time.
+func (s *Server) open(nc net.Conn, br *bufio.Reader) *session {
+	nc.SetDeadline(time.Now().Add(s.caps.Handshake))
+	u, err := ws.ReadUpgrade(br)
+	var m *config.Member
+	if err == nil {
+		m, err = s.known(u)
+	}
+	if err != nil {
+		var r *ws.Refusal
+		if errors.As(err, &r) {
+			s.turnedAway("handshake_" + strconv.Itoa(r.Status))
+			nc.Write(r.Response())
+			// What the client still sends is taken for a moment: a reset would take the answer from it.
+			if tc, ok := nc.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+				nc.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				io.CopyN(io.Discard, br, 64<<10)
+			}
+		}
+		return nil
+	}
+	if _, err := nc.Write(u.Accept(protocol)); err != nil {
+		return nil
+	}
+	nc.SetDeadline(time.Time{})
+	return &session{s: s, member: m, link: link.New(nc, br, ws.Server, link.Options{Message: int64(s.caps.Message),
+		Queue: s.caps.Queue, WriteWait: s.caps.Write})}
+}
+
+// known finds who a client is.
+func (s *Server) known(u *ws.Upgrade) (*config.Member, error) {
+	scheme, key, _ := strings.Cut(u.Header["authorization"], " ")
+	i, ok := 0, false
+	if strings.EqualFold(scheme, "Bearer") {
+		i, ok = s.book.Find(strings.TrimSpace(key))
+	}
+	if !ok {
+		return nil, &ws.Refusal{Status: 401, Reason: "a key is wanted: Authorization: Bearer KEY",
+			Extra: "WWW-Authenticate: Bearer realm=\"winghatch\"\r\n"}
+	}
+	if !u.Offers(protocol) {
+		return nil, &ws.Refusal{Status: 400, Reason: "Sec-WebSocket-Protocol: want " + protocol}
+	}
+	m := &s.members[i]
+	if (s.rank-m.First+s.size)%s.size >= m.Spread {
+		return nil, &ws.Refusal{Status: 403, Reason: fmt.Sprintf("gateway %d is none of this member's, which are %d from %d on",
+			s.rank, m.Spread, m.First)}
+	}
+	return m, nil
+}
+
+// Drain takes no new session and no new call, and closes each session behind its last answer.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ln != nil {
+		s.ln.Close()
+	}
+	for _, c := range s.conns {
+		if c == nil {
+			continue
+		}
+		c.mu.Lock()
+		idle := len(c.open)+len(c.quiet) == 0
+		c.mu.Unlock()
+		if idle {
+			c.link.Close(ws.CodeGoingAway, "this gateway stops")
+		}
+	}
+}
+
+// Close cuts all connections and waits for their goroutines.
+func (s *Server) Close() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	if s.ln != nil {
+		s.ln.Close()
+	}
+	for nc := range s.conns {
+		nc.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,251 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/front/websocket"
+	"winghatch/link"
+	"winghatch/nodelist"
+	"winghatch/peer"
+	"winghatch/tape"
+	"winghatch/upstream"
+)
+
+// origin is what the clock shows at the start of the process. It is not 0, so that a node's start some time
+// before this gateway's own has a time of its own: to the core 0 means long ago.
+const origin = 24 * time.Hour
+
+// Clock is the gateway's time: monotonic, origin at its making.
+type Clock struct{ began time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the time since the origin.
+func (c Clock) Now() time.Duration { return origin + time.Since(c.began) }
+
+// Options are what one gateway is given beside the fleet's settings.
+type Options struct {
+	Rank int
+	Seed int64     // 0: from the time
+	Tape io.Writer // nil: nothing is recorded
+	Log  *slog.Logger
+}
+
+// Gateway is a whole running gateway.
+type Gateway struct {
+	fleet *config.Fleet
+	rank  int
+	log   *slog.Logger
+	loop  *Loop
+	front *websocket.Server
+	pool  *upstream.Pool
+	peers *peer.Link
+	state *http.Server
+	epoch int64
+	clock Clock
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+}
+
+// Start binds the sockets that the settings name and runs a gateway on them.
+func Start(f *config.Fleet, o Options) (*Gateway, error) {
+	cfg, err := f.Rank(o.Rank)
+	if err != nil {
+		return nil, err
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	me := f.Gateways[o.Rank]
+	g := &Gateway{fleet: f, rank: o.Rank, log: o.Log.With("gateway", o.Rank), clock: NewClock(), epoch: time.Now().UnixNano()}
+	if o.Seed == 0 {
+		o.Seed = g.epoch
+	}
+	var tp *tape.Writer
+	if o.Tape != nil {
+		if tp, err = tape.NewWriter(o.Tape, cfg, o.Seed); err != nil {
+			return nil, err
+		}
+	}
+	g.pool = upstream.New(upstream.Options{ConnectTimeout: cfg.Limits.ConnectTimeout, Conns: f.Caps.NodeConns,
+		Calls: f.Caps.NodeCalls, Idle: f.Caps.NodeIdle, Link: link.Options{Message: int64(f.Caps.Message) * 2,
+			Queue: 8 * f.Caps.Queue, WriteWait: f.Caps.Write, ReadBuffer: 16 << 10}})
+	ok := false
+	var closers []io.Closer
+	defer func() {
+		if !ok {
+			for _, c := range closers {
+				c.Close()
+			}
+			g.pool.Close()
+		}
+	}()
+	ln, err := net.Listen("tcp", me.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("gateway %d: listen: %w", o.Rank, err)
+	}
+	closers = append(closers, ln)
+	var peers Peers
+	if cfg.Limits.Peers {
+		pc, err := net.ListenPacket("udp", me.Peer)
+		if err != nil {
+			return nil, fmt.Errorf("gateway %d: peer: %w", o.Rank, err)
+		}
+		closers = append(closers, pc)
+		var addrs []string
+		for _, p := range f.Gateways {
+			addrs = append(addrs, p.Peer)
+		}
+		if g.peers, err = peer.New(pc, peer.Options{Fleet: f.Name, Rank: o.Rank, Peers: addrs, Secret: f.Secret,
+			Intake: cfg.PeerIntake}); err != nil {
+			return nil, err
+		}
+		peers = g.peers
+	}
+	var sl net.Listener
+	if me.State != "" {
+		if sl, err = net.Listen("tcp", me.State); err != nil {
+			return nil, fmt.Errorf("gateway %d: state: %w", o.Rank, err)
+		}
+		closers = append(closers, sl)
+	}
+	if g.loop, err = NewLoop(cfg, o.Seed, g.clock.Now, g.pool, peers, tp, g.log); err != nil {
+		return nil, err
+	}
+	g.loop.limit = int64(f.Caps.Open)
+	ok = true
+	g.run(ln, sl)
+	return g, nil
+}
+
+func (g *Gateway) run(ln, sl net.Listener) {
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	g.front = websocket.New(g.fleet, g.rank, fmt.Sprintf("%d-%s-", g.rank, strings.ToLower(fmt.Sprintf("%x", g.epoch))), g.loop,
+		g.clock.Now, g.log)
+	goes := func(f func()) {
+		g.wg.Add(1)
+		go func() { defer g.wg.Done(); f() }()
+	}
+	goes(g.loop.Run)
+	if g.peers != nil {
+		goes(func() { g.peers.Serve(g.loop.Peer) })
+	}
+	if g.fleet.List != "" {
+		kept := ""
+		if g.fleet.ListKept != "" {
+			kept = strings.ReplaceAll(g.fleet.ListKept, "%d", fmt.Sprint(g.rank))
+		}
+		goes(func() {
+			nodelist.Follow(ctx, nodelist.Options{Addr: g.fleet.List, Kept: kept, Rank: g.rank, Clock: g.clock.Now,
+				Take: g.loop.Fleet, Log: func(msg string, args ...any) { g.log.Warn(msg, args...) }})
+		})
+	}
+	if sl != nil {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(g.State())
+		})
+		g.state = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
+		goes(func() { g.state.Serve(sl) })
+	}
+	goes(func() { g.front.Serve(ln) })
+	g.log.Info("gateway runs", "listen", ln.Addr().String(), "fleet", g.fleet.Name)
+}
+
+// Drain takes nothing new, waits until every open call has its answer, within their deadlines, and stops.
+func (g *Gateway) Drain() {
+	g.front.Drain()
+	var longest time.Duration
+	for _, k := range g.fleet.Decide.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	until := time.Now().Add(longest + g.fleet.Decide.Safety.AnswerSlack)
+	for g.loop.Open.Load() > 0 && time.Now().Before(until) {
+		time.Sleep(2 * time.Millisecond)
+	}
+	// The last answers leave before their sessions are cut.
+	for until := time.Now().Add(time.Second); g.front.Sessions() > 0 && time.Now().Before(until); {
+		time.Sleep(2 * time.Millisecond)
+	}
+	g.Stop()
+}
+
+// Stop ends everything at once.
+func (g *Gateway) Stop() {
+	g.stop()
+	g.front.Close()
+	if g.peers != nil {
+		g.peers.Close()
+	}
+	if g.state != nil {
+		g.state.Close()
+	}
+	g.loop.Stop()
+	g.pool.Close()
+	g.wg.Wait()
+}
+
+// State is what an operator is told.
+type State struct {
+	Fleet      string            `json:"fleet"`
+	Rank       int               `json:"rank"`
+	Zone       string            `json:"zone,omitempty"`
+	Up         time.Duration     `json:"up_ns"`
+	Sessions   int               `json:"sessions"`
+	Open       int64             `json:"open"`
+	Queue      int               `json:"queue"`
+	Turns      int64             `json:"turns"`
+	Served     int64             `json:"served"`
+	Refused    map[string]int64  `json:"refused"`
+	TurnedAway map[string]int64  `json:"turned_away"`
+	Failed     int64             `json:"failed"`
+	Gone       int64             `json:"gone"`
+	Attempts   int64             `json:"attempts"`
+	Outcomes   map[string]int64  `json:"outcomes"`
+	Late       int64             `json:"late"`
+	NodeConns  int               `json:"node_connections"`
+	Datagrams  peer.Counts       `json:"datagrams"`
+	Names      map[uint64]string `json:"names"` // of customers, by their keys in Core
+	Core       decide.View       `json:"core"`
+}
+
+// State asks the loop.
+func (g *Gateway) State() State {
+	s := State{Fleet: g.fleet.Name, Rank: g.rank, Zone: g.fleet.Gateways[g.rank].Zone, Up: g.clock.Now() - origin,
+		Sessions: g.front.Sessions(), TurnedAway: g.front.TurnedAway(), NodeConns: g.pool.Conns(),
+		Refused: map[string]int64{}, Outcomes: map[string]int64{}, Names: map[uint64]string{}}
+	if g.peers != nil {
+		s.Datagrams = g.peers.Counts()
+	}
+	for _, m := range g.fleet.Members {
+		s.Names[decide.CustomerKey(m.Name)] = m.Name
+	}
+	g.loop.Ask(func() {
+		l := g.loop
+		s.Queue, s.Turns, s.Core = l.q.len(), l.turns, l.core.View()
+		for k, v := range l.reasons {
+			s.Refused[k] = v
+		}
+		for k, v := range l.ends {
+			s.Outcomes[k] = v
+		}
+	})
+	l := g.loop
+	s.Open, s.Served, s.Failed, s.Gone = l.Open.Load(), l.Served.Load(), l.Failed.Load(), l.Counters.Gone.Load()
+	s.Attempts, s.Late = l.Tries.Load(), l.Late.Load()+g.pool.Late()
+	return s
+}
--- /dev/null
+++ b/gateway/loop.go
@@ -0,0 +1,426 @@
+// Package gateway is the runtime: one loop goroutine that owns the core, the open calls and the timers.
+// Sockets post to its queue; it turns what they bring into events, hands them to the core and carries out the
+// actions that come back, in order. It holds no threshold and makes no choice.
+package gateway
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"winghatch/decide"
+	"winghatch/front"
+	"winghatch/tape"
+	"winghatch/upstream"
+)
+
+// Nodes carries attempts to nodes; package upstream does.
+type Nodes interface {
+	Send(*upstream.Call)
+	Abandon(*upstream.Call) upstream.Given
+	CloseIdle(node string)
+}
+
+// Peers carries messages to other gateways; package peer does.
+type Peers interface{ Send(to int, text string) }
+
+type input any
+
+// The inputs of the loop.
+type (
+	inCall struct{ call *front.Call }
+	inGone struct{ id string }
+	inEnd  struct {
+		try *try
+		res upstream.Result
+	}
+	inPeer struct {
+		from int
+		text string
+	}
+	inFleet struct{ ev decide.FleetUpdate }
+	inAsk   struct{ f func() }
+)
+
+// open is a call that has no final answer yet, or attempts out.
+type open struct {
+	*front.Call
+	class    *decide.Class
+	tries    []*try
+	out      int
+	finished bool
+	at       time.Duration
+}
+
+// try is an attempt.
+type try struct {
+	o    *open
+	n    int
+	node string
+	at   time.Duration
+	over bool
+	call *upstream.Call
+}
+
+// Counters are read by anyone.
+type Counters struct {
+	Open    atomic.Int64 // calls in the front's and the loop's hands
+	Served  atomic.Int64
+	Refused atomic.Int64
+	Failed  atomic.Int64
+	Gone    atomic.Int64 // clients that left before an answer
+	Tries   atomic.Int64
+	Late    atomic.Int64 // answers to attempts that were over
+}
+
+// Loop owns the core.
+type Loop struct {
+	Counters
+	cfg     decide.Config
+	core    *decide.Gateway
+	clock   func() time.Duration
+	nodes   Nodes
+	peers   Peers
+	tape    *tape.Writer
+	log     *slog.Logger
+	q       *queue
+	timers  timers
+	opens   map[string]*open
+	now     time.Duration
+	reasons map[string]int64 // refusals
+	ends    map[string]int64 // outcomes of attempts
+	turns   int64
+	settle  bool
+	limit   int64 // calls open at once
+	done    chan struct{}
+	quit    chan struct{}
+	classes map[string]*decide.Class
+}
+
+// NewLoop returns a loop that Run starts. tape may be nil.
+func NewLoop(cfg decide.Config, seed int64, clock func() time.Duration, nodes Nodes, peers Peers, tp *tape.Writer,
+	log *slog.Logger) (*Loop, error) {
+	core, err := decide.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	l := &Loop{cfg: cfg, core: core, clock: clock, nodes: nodes, peers: peers, tape: tp, log: log, q: newQueue(),
+		opens: map[string]*open{}, reasons: map[string]int64{}, ends: map[string]int64{}, settle: cfg.SettledLater,
+		done: make(chan struct{}), quit: make(chan struct{}), classes: map[string]*decide.Class{}}
+	for i := range cfg.Classes {
+		l.classes[cfg.Classes[i].Name] = &cfg.Classes[i]
+	}
+	return l, nil
+}
+
+// Enter counts a call in, or reports that the cap on open calls is reached. That also bounds the queue.
+func (l *Loop) Enter() bool {
+	if l.Open.Add(1) > l.limit {
+		l.Open.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Call hands a call to the loop.
+func (l *Loop) Call(c *front.Call) { l.q.post(inCall{c}) }
+
+// Gone says that the client of a call left.
+func (l *Loop) Gone(id string) { l.q.post(inGone{id}) }
+
+// Peer hands on a peer's message.
+func (l *Loop) Peer(from int, text string) { l.q.post(inPeer{from, text}) }
+
+// Fleet hands on news of the list of nodes.
+func (l *Loop) Fleet(ev decide.FleetUpdate) { l.q.post(inFleet{ev}) }
+
+// Ask runs f in the loop and returns after it; false if the loop has ended.
+func (l *Loop) Ask(f func()) bool {
+	ready := make(chan struct{})
+	l.q.post(inAsk{func() { f(); close(ready) }})
+	select {
+	case <-ready:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Stop ends Run after the turn under way.
+func (l *Loop) Stop() {
+	select {
+	case <-l.quit:
+	default:
+		close(l.quit)
+	}
+	<-l.done
+}
+
+// Run turns until Stop.
+func (l *Loop) Run() {
+	defer close(l.done)
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		// Answers come before the time-outs of the same turn: what has come counts as come.
+		l.now = l.clock()
+		l.turns++
+		for _, in := range l.q.take() {
+			l.input(in)
+		}
+		for {
+			t, ok := l.timers.due(l.now)
+			if !ok {
+				break
+			}
+			l.fire(t)
+		}
+		if l.tape != nil && l.q.len() == 0 {
+			l.flushTape()
+		}
+		wait := time.Hour
+		if at, ok := l.timers.next(); ok {
+			wait = max(0, at-l.clock())
+		}
+		if l.q.len() > 0 {
+			wait = 0
+		}
+		alarm.Reset(wait)
+		select {
+		case <-l.quit:
+			l.flushTape()
+			return
+		case <-l.q.wake:
+		case <-alarm.C:
+		}
+	}
+}
+
+func (l *Loop) flushTape() {
+	if l.tape != nil {
+		if err := l.tape.Flush(); err != nil {
+			l.log.Error("the tape can't be written, recording ends", "err", err)
+			l.tape = nil
+		}
+	}
+}
+
+func (l *Loop) input(in input) {
+	switch in := in.(type) {
+	case inCall:
+		l.request(in.call)
+	case inGone:
+		if o := l.opens[in.id]; o != nil && !o.finished {
+			o.finished = true
+			l.Counters.Gone.Add(1)
+			l.Open.Add(-1)
+			l.handle(decide.ClientGone{ID: in.id})
+			l.forget(o)
+		}
+	case inEnd:
+		l.ended(in.try, in.res)
+	case inPeer:
+		l.handle(decide.PeerMessage{From: in.from, Text: in.text})
+	case inFleet:
+		l.handle(in.ev)
+	case inAsk:
+		in.f()
+	}
+}
+
+func (l *Loop) fire(t timer) {
+	if t.try == nil {
+		l.handle(decide.TimerFired{Token: t.token})
+		return
+	}
+	if res, ok := l.abandon(t.try, decide.TimedOut); ok {
+		l.ended(t.try, res)
+	}
+}
+
+// abandon gives an attempt up. One that provably never left did not run, whatever the clock says. One whose
+// end is on its way through the queue is left to that: what has come counts as come.
+func (l *Loop) abandon(t *try, as decide.Outcome) (upstream.Result, bool) {
+	switch l.nodes.Abandon(t.call) {
+	case upstream.NeverLeft:
+		return upstream.Result{Outcome: decide.NoConnection}, true
+	case upstream.MayRun:
+		return upstream.Result{Outcome: as}, true
+	}
+	return upstream.Result{}, false
+}
+
+func (l *Loop) request(c *front.Call) {
+	o := &open{Call: c, class: l.classes[c.Class], at: l.now}
+	l.opens[c.ID] = o
+	l.handle(decide.Request{ID: c.ID, Class: c.Class, Plan: c.Plan, Customer: c.Member, Units: c.Units,
+		Deadline: c.Deadline, First: c.First, Spread: c.Spread, Again: c.Again, Write: c.Write})
+}
+
+// ended takes the end of an attempt. The first OK is the call's final answer.
+func (l *Loop) ended(t *try, res upstream.Result) {
+	if t.over {
+		l.Late.Add(1)
+		return
+	}
+	t.over = true
+	o := t.o
+	o.out--
+	l.ends[outcomeNames[res.Outcome]]++
+	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
+		Metered: res.Metered, Report: res.Report, Done: o.finished}
+	if res.Outcome == decide.OK && !o.finished {
+		ev.Done = true
+		if l.settle {
+			ev.TrueUnits = res.TrueUnits
+		}
+		l.final(o, front.Final{Kind: front.Served, Body: res.Body, Units: res.TrueUnits})
+	}
+	l.handle(ev)
+	l.forget(o)
+}
+
+// final gives the one final answer; a second one is dropped and said.
+func (l *Loop) final(o *open, f front.Final) {
+	if o.finished {
+		l.log.Error("a second final answer was held back", "request", o.ID, "kind", f.Kind.String())
+		return
+	}
+	o.finished = true
+	l.Open.Add(-1)
+	switch f.Kind {
+	case front.Served:
+		l.Served.Add(1)
+	case front.Refused:
+		l.Refused.Add(1)
+		l.reasons[f.Reason]++
+	case front.Failed:
+		l.Failed.Add(1)
+	}
+	l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
+		"attempts", len(o.tries), "took", l.now-o.at)
+	o.Done(f)
+}
+
+// forget drops a finished call once none of its attempts is out.
+func (l *Loop) forget(o *open) {
+	if o.finished && o.out == 0 {
+		delete(l.opens, o.ID)
+	}
+}
+
+func (l *Loop) handle(ev decide.Event) {
+	acts := l.core.Handle(l.now, ev)
+	if l.tape != nil {
+		if err := l.tape.Write(l.now, ev, acts); err != nil {
+			l.log.Error("the tape can't be written, recording ends", "err", err)
+			l.tape = nil
+		}
+	}
+	for _, a := range acts {
+		l.carry(a)
+	}
+}
+
+func (l *Loop) carry(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		l.send(a)
+	case decide.Cancel:
+		l.cancel(a)
+	case decide.Refuse:
+		if o := l.opens[a.ID]; o != nil {
+			l.final(o, front.Final{Kind: front.Refused, RetryAfter: a.RetryAfter, Reason: string(a.Reason)})
+			l.forget(o)
+		}
+	case decide.Fail:
+		if o := l.opens[a.ID]; o != nil {
+			l.final(o, front.Final{Kind: front.Failed})
+			l.forget(o)
+		}
+	case decide.SetTimer:
+		l.timers.set(timer{at: a.At, token: a.Token})
+	case decide.CloseIdle:
+		l.nodes.CloseIdle(a.Server)
+	case decide.Tell:
+		if l.peers != nil {
+			l.peers.Send(a.To, a.Text)
+		}
+	case decide.Log:
+		l.log.Info(a.Text)
+	default:
+		// Probe, Subscribe, FetchList and Count can't come: no setting of the program lets the core use them.
+		l.log.Error("an action that this gateway does not carry", "action", a)
+	}
+}
+
+func (l *Loop) send(a decide.Send) {
+	o := l.opens[a.ID]
+	if o == nil {
+		return
+	}
+	t := &try{o: o, n: len(o.tries), node: a.Server, at: l.now}
+	o.tries = append(o.tries, t)
+	o.out++
+	left := o.Deadline - l.now
+	if a.Timeout > 0 {
+		left = min(left, a.Timeout)
+	}
+	if o.finished || left <= 0 || len(o.tries) > l.cfg.Limits.MaxAttempts {
+		l.q.post(inEnd{t, upstream.Result{Outcome: decide.Moot}})
+		return
+	}
+	l.Tries.Add(1)
+	t.call = &upstream.Call{Node: a.Server, Method: o.Class, Params: o.params(t.n, left),
+		Done: func(r upstream.Result) { l.q.post(inEnd{t, r}) }}
+	l.timers.set(timer{at: l.now + left, try: t})
+	l.nodes.Send(t.call)
+}
+
+// params is what a node is told of an attempt.
+func (o *open) params(n int, left time.Duration) []byte {
+	b := make([]byte, 0, 160+len(o.Work))
+	b = append(b, `{"request":`...)
+	b = strconv.AppendQuote(b, o.ID)
+	b = append(b, `,"attempt":`...)
+	b = strconv.AppendInt(b, int64(n), 10)
+	b = append(b, `,"member":`...)
+	b = appendJSON(b, o.Member)
+	if o.Key != "" {
+		b = append(b, `,"key":`...)
+		b = appendJSON(b, o.Key)
+	}
+	b = append(b, `,"units":`...)
+	b = strconv.AppendFloat(b, o.Units, 'g', -1, 64)
+	b = append(b, `,"timeout_ms":`...)
+	b = strconv.AppendFloat(b, float64(left)/float64(time.Millisecond), 'f', 3, 64)
+	if len(o.Work) > 0 {
+		b = append(append(b, `,"work":`...), o.Work...)
+	}
+	return append(b, '}')
+}
+
+func appendJSON(dst []byte, s string) []byte {
+	raw, _ := json.Marshal(s) // a string always can be
+	return append(dst, raw...)
+}
+
+func (l *Loop) cancel(a decide.Cancel) {
+	o := l.opens[a.ID]
+	if o == nil || a.Attempt < 0 || a.Attempt >= len(o.tries) {
+		return
+	}
+	t := o.tries[a.Attempt]
+	if t.over || t.call == nil {
+		return
+	}
+	if res, ok := l.abandon(t, decide.Cancelled); ok {
+		l.q.post(inEnd{t, res}) // its end comes in an event of its own, behind the actions under way
+	}
+}
+
+var outcomeNames = map[decide.Outcome]string{decide.OK: "ok", decide.Error: "error", decide.Full: "full",
+	decide.TimedOut: "timed_out", decide.NoConnection: "no_connection", decide.Reset: "reset",
+	decide.Cancelled: "cancelled", decide.Moot: "moot"}
--- /dev/null
+++ b/tape/tape.go
@@ -0,0 +1,252 @@
+// Package tape records what a gateway's core was given and what came out, and replays it into a fresh core:
+// the same actions prove that whoever replays has the same core.
+//
+// A tape is lines of text, each the XXH64 of its JSON in 16 hexadecimal digits, a space and the JSON. The
+// first line holds the settings and the seed, every other the time, an event and its actions. A tape may be
+// cut anywhere, as by a kill; it reads up to its last whole line.
+package tape
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"winghatch/decide"
+)
+
+// Header is a tape's first record.
+type Header struct {
+	Version int
+	Seed    int64
+	Config  decide.Config
+}
+
+// Record is one turn of the core.
+type Record struct {
+	At      time.Duration
+	Event   decide.Event
+	Actions []decide.Action
+}
+
+const version = 1
+
+type typed struct {
+	K string          `json:"k"`
+	V json.RawMessage `json:"v"`
+}
+
+type wireRecord struct {
+	T int64   `json:"t"`
+	E typed   `json:"e"`
+	A []typed `json:"a,omitempty"`
+}
+
+var events, actions = map[string]reflect.Type{}, map[string]reflect.Type{}
+
+func init() {
+	for _, e := range []decide.Event{decide.FleetUpdate{}, decide.Request{}, decide.AnswerStarted{}, decide.AttemptEnded{},
+		decide.ClientGone{}, decide.TimerFired{}, decide.ProbeEnded{}, decide.PeerMessage{}, decide.Counted{}} {
+		events[reflect.TypeOf(e).Name()] = reflect.TypeOf(e)
+	}
+	for _, a := range []decide.Action{decide.Send{}, decide.Cancel{}, decide.Refuse{}, decide.Fail{}, decide.SetTimer{},
+		decide.Probe{}, decide.CloseIdle{}, decide.Subscribe{}, decide.FetchList{}, decide.Tell{}, decide.Count{},
+		decide.Log{}} {
+		actions[reflect.TypeOf(a).Name()] = reflect.TypeOf(a)
+	}
+}
+
+func pack(v any) (typed, error) {
+	raw, err := json.Marshal(v)
+	return typed{reflect.TypeOf(v).Name(), raw}, err
+}
+
+func unpack(t typed, from map[string]reflect.Type) (any, error) {
+	kind, ok := from[t.K]
+	if !ok {
+		return nil, fmt.Errorf("kind %q is not known", t.K)
+	}
+	v := reflect.New(kind)
+	err := json.Unmarshal(t.V, v.Interface())
+	return v.Elem().Interface(), err
+}
+
+// Writer writes a tape. It is not safe for concurrent use.
+type Writer struct{ w *bufio.Writer }
+
+// NewWriter writes the first record.
+func NewWriter(w io.Writer, cfg decide.Config, seed int64) (*Writer, error) {
+	t := &Writer{bufio.NewWriterSize(w, 64<<10)}
+	return t, t.line(Header{version, seed, cfg})
+}
+
+func (t *Writer) line(v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.w, "%016x ", xxhash.Sum64(raw))
+	t.w.Write(raw)
+	return t.w.WriteByte('\n')
+}
+
+// Write adds a record.
+func (t *Writer) Write(at time.Duration, ev decide.Event, acts []decide.Action) error {
+	r := wireRecord{T: int64(at)}
+	var err error
+	if r.E, err = pack(ev); err != nil {
+		return err
+	}
+	for _, a := range acts {
+		p, err := pack(a)
+		if err != nil {
+			return err
+		}
+		r.A = append(r.A, p)
+	}
+	return t.line(r)
+}
+
+// Flush hands what was written to the file.
+func (t *Writer) Flush() error { return t.w.Flush() }
+
+// ErrCut says that a tape ends inside a record, or goes on with one that is damaged.
+type ErrCut struct {
+	Line int
+	Why  string
+}
+
+func (e *ErrCut) Error() string {
+	return fmt.Sprintf("tape: line %d: %s; read up to there", e.Line, e.Why)
+}
+
+// Reader reads a tape.
+type Reader struct {
+	br   *bufio.Reader
+	line int
+	Header
+}
+
+// NewReader reads the first record.
+func NewReader(r io.Reader) (*Reader, error) {
+	t := &Reader{br: bufio.NewReaderSize(r, 64<<10)}
+	raw, err := t.next()
+	if errors.Is(err, io.EOF) {
+		return nil, errors.New("tape: empty")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(raw, &t.Header); err != nil || t.Version != version {
+		return nil, fmt.Errorf("tape: line 1: version %d, want %d", t.Version, version)
+	}
+	return t, nil
+}
+
+func (t *Reader) next() ([]byte, error) {
+	raw, err := t.br.ReadBytes('\n')
+	if len(raw) == 0 && errors.Is(err, io.EOF) {
+		return nil, io.EOF
+	}
+	t.line++
+	if errors.Is(err, io.EOF) {
+		return nil, &ErrCut{t.line, "cut inside a record"}
+	}
+	if err != nil {
+		return nil, err
+	}
+	sum, body, ok := bytes.Cut(raw[:len(raw)-1], []byte{' '})
+	want, perr := strconv.ParseUint(string(sum), 16, 64)
+	if !ok || perr != nil || len(sum) != 16 || want != xxhash.Sum64(body) {
+		return nil, &ErrCut{t.line, "checksum is wrong"}
+	}
+	return body, nil
+}
+
+// Next returns the next record, io.EOF at the end or *ErrCut where the tape is cut or damaged.
+func (t *Reader) Next() (Record, error) {
+	raw, err := t.next()
+	if err != nil {
+		return Record{}, err
+	}
+	var w wireRecord
+	if err := json.Unmarshal(raw, &w); err != nil {
+		return Record{}, &ErrCut{t.line, err.Error()}
+	}
+	r := Record{At: time.Duration(w.T)}
+	ev, err := unpack(w.E, events)
+	if err != nil {
+		return r, &ErrCut{t.line, err.Error()}
+	}
+	r.Event = ev.(decide.Event)
+	for _, p := range w.A {
+		a, err := unpack(p, actions)
+		if err != nil {
+			return r, &ErrCut{t.line, err.Error()}
+		}
+		r.Actions = append(r.Actions, a.(decide.Action))
+	}
+	return r, nil
+}
+
+// Counts is what a replay met.
+type Counts struct {
+	Events, Actions int
+	ByKind          map[string]int
+	Cut             *ErrCut // the tape was cut; the rest was replayed
+}
+
+// Difference is the first record at which a fresh core did otherwise.
+type Difference struct {
+	Record    int
+	At        time.Duration
+	Event     decide.Event
+	Want, Got []decide.Action // on the tape; by the fresh core
+}
+
+func (d *Difference) Error() string {
+	return fmt.Sprintf("tape: record %d at %v: %T%+v: the tape has %+v, this core does %+v", d.Record, d.At,
+		d.Event, d.Event, d.Want, d.Got)
+}
+
+// Replay plays a tape into a fresh core. The error is a *Difference if its actions differ.
+func Replay(r io.Reader) (Counts, error) {
+	c := Counts{ByKind: map[string]int{}}
+	t, err := NewReader(r)
+	if err != nil {
+		return c, err
+	}
+	core, err := decide.New(t.Config, t.Seed)
+	if err != nil {
+		return c, fmt.Errorf("tape: line 1: %w", err)
+	}
+	for {
+		rec, err := t.Next()
+		if errors.Is(err, io.EOF) {
+			return c, nil
+		}
+		if errors.As(err, &c.Cut) {
+			return c, nil
+		}
+		if err != nil {
+			return c, err
+		}
+		c.Events++
+		got := core.Handle(rec.At, rec.Event)
+		if len(got) != len(rec.Actions) || len(got) > 0 && !reflect.DeepEqual(got, rec.Actions) {
+			return c, &Difference{c.Events, rec.At, rec.Event, rec.Actions, got}
+		}
+		c.Actions += len(got)
+		c.ByKind[reflect.TypeOf(rec.Event).Name()]++
+		for _, a := range got {
+			c.ByKind[reflect.TypeOf(a).Name()]++
+		}
+	}
+}
