--- /dev/null
+++ b/cmd/winghatch/day.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"sort"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"winghatch/day"
+)
+
+type demoCmd struct {
+	Seed int `help:"Of the day; 0 takes its own."`
+}
+
+func (c *demoCmd) Run() error { return playDay("drain", c.Seed, "") }
+
+type dayCmd struct {
+	File   string `arg:"" help:"A day's file, or the name of one of the built-in days."`
+	Seed   int    `help:"Of the day; 0 takes the file's."`
+	Record string `help:"Keep settings, traffic, tapes and logs in this folder."`
+}
+
+func (c *dayCmd) Run() error { return playDay(c.File, c.Seed, c.Record) }
+
+type auditCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"The folder that day --record filled."`
+}
+
+func (c *auditCmd) Run() error {
+	v, err := day.Audit(c.Dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exit(2)
+	}
+	fmt.Print(v)
+	if v.Kept() < 5 {
+		return exit(1)
+	}
+	return nil
+}
+
+// playDay plays, prints and tells by its exit code: 1 a rule was broken, 2 the day could not be played.
+func playDay(name string, seed int, dir string) error {
+	fail := func(err error) error {
+		fmt.Fprintln(os.Stderr, err)
+		return exit(2)
+	}
+	s, err := day.Open(name)
+	if err != nil {
+		return fail(err)
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "winghatch-day-"); err != nil {
+			return fail(err)
+		}
+		defer os.RemoveAll(dir)
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fail(err)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return fail(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Printf("day %s: %d gateways, %d members, %.0f orders a second, %v\n", s.Name, len(s.Fleet.Gateways), len(s.Fleet.Members),
+		s.Load.Rate, s.Length)
+	res, err := day.Play(ctx, s, day.Options{Seed: seed, Dir: dir,
+		Command: func(args ...string) *exec.Cmd { return exec.Command(exe, args...) },
+		Say:     func(format string, args ...any) { fmt.Printf(format+"\n", args...) }})
+	if err != nil {
+		return fail(err)
+	}
+	printDay(res)
+	if res.Verdict.Kept() < 5 {
+		return exit(1)
+	}
+	return nil
+}
+
+func printDay(res *day.Outcome) {
+	st := res.Stats
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	row := func(name string, n int64) {
+		fmt.Fprintf(w, "%s\t%d\t%.1f%%\n", name, n, 100*float64(n)/max(1, float64(st.Asked)))
+	}
+	fmt.Fprintln(w)
+	row("orders asked", st.Asked)
+	row("served", st.Served)
+	row("served within the aim", st.InAim)
+	row("refused at last", st.Refused)
+	var reasons []string
+	for r := range st.Reasons {
+		reasons = append(reasons, r)
+	}
+	sort.Strings(reasons)
+	for _, r := range reasons {
+		row("  "+r, st.Reasons[r])
+	}
+	row("failed", st.Failed)
+	row("lost with their session", st.Lost)
+	row("no gateway reached", st.Unreachable)
+	row("clients' tries", st.Tries)
+	row("attempts at nodes", int64(res.Attempts))
+	for _, q := range []float64{50, 90, 99, 99.9} {
+		fmt.Fprintf(w, "latency p%v\t%v\n", q, time.Duration(st.Latency.ValueAtQuantile(q))*time.Microsecond)
+	}
+	w.Flush()
+	fmt.Println()
+	fmt.Print(res.Verdict)
+}
--- /dev/null
+++ b/cmd/winghatch/gateway.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"sort"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/gateway"
+	"winghatch/keys"
+	"winghatch/tape"
+)
+
+type gatewayCmd struct {
+	Config string `required:"" type:"existingfile" help:"The fleet's settings, KDL."`
+	Rank   int    `required:"" help:"This gateway's number, from 0."`
+	Seed   int64  `help:"Of the core's random choices; 0 takes one from the time."`
+	Tape   string `help:"Record what the core is given and does in this file."`
+	Log    string `help:"text or json; else as the settings say." enum:"text,json," default:""`
+}
+
+func logger(f *config.Fleet, form string) *slog.Logger {
+	var level slog.Level
+	level.UnmarshalText([]byte(f.Log.Level)) // the settings were checked
+	o := &slog.HandlerOptions{Level: level}
+	if form == "json" || form == "" && f.Log.JSON {
+		return slog.New(slog.NewJSONHandler(os.Stderr, o))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, o))
+}
+
+func (c *gatewayCmd) Run() error {
+	f, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	o := gateway.Options{Rank: c.Rank, Seed: c.Seed, Log: logger(f, c.Log)}
+	if c.Tape != "" {
+		out, err := os.Create(c.Tape)
+		if err != nil {
+			return err
+		}
+		defer out.Close()
+		o.Tape = out
+	}
+	sigs := make(chan os.Signal, 2)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
+	g, err := gateway.Start(f, o)
+	if err != nil {
+		return err
+	}
+	s := <-sigs
+	o.Log.Info("stops: takes nothing new, finishes what is open", "signal", s.String())
+	go func() {
+		<-sigs
+		os.Exit(1) // asked twice
+	}()
+	g.Drain()
+	o.Log.Info("stopped")
+	return nil
+}
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile" help:"The settings."`
+}
+
+func (c *checkCmd) Run() error {
+	f, err := config.Load(c.File)
+	if err != nil {
+		fmt.Println(err)
+		return exit(1)
+	}
+	fmt.Printf("%s: fleet %q: %d gateways, %d classes, %d plans, %d members\n", c.File, f.Name, len(f.Gateways),
+		len(f.Decide.Classes), len(f.Decide.Plans), len(f.Members))
+	return nil
+}
+
+type replayCmd struct {
+	Tape string `arg:"" type:"existingfile" help:"A tape that a gateway recorded."`
+}
+
+func (c *replayCmd) Run() error {
+	in, err := os.Open(c.Tape)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	n, err := tape.Replay(in)
+	var diff *tape.Difference
+	if errors.As(err, &diff) {
+		fmt.Println(err)
+		return exit(1)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Tape, err)
+	}
+	fmt.Printf("%d events, %d actions, all the same\n", n.Events, n.Actions)
+	var kinds []string
+	for k := range n.ByKind {
+		kinds = append(kinds, k)
+	}
+	sort.Strings(kinds)
+	for _, k := range kinds {
+		fmt.Printf("  %-14s %d\n", k, n.ByKind[k])
+	}
+	if n.Cut != nil {
+		fmt.Println(n.Cut)
+	}
+	return nil
+}
+
+type stateCmd struct {
+	At   string `required:"" help:"The gateway's state address, host:port."`
+	JSON bool   `help:"Print it as it came."`
+}
+
+func (c *stateCmd) Run() error {
+	client := http.Client{Timeout: 5 * time.Second}
+	res, err := client.Get("http://" + c.At + "/state")
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: answered %s: %v", c.At, res.Status, err)
+	}
+	if c.JSON {
+		_, err = os.Stdout.Write(raw)
+		return err
+	}
+	var s gateway.State
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return fmt.Errorf("%s: %w", c.At, err)
+	}
+	printState(&s)
+	return nil
+}
+
+func printState(s *gateway.State) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintf(w, "fleet %s, gateway %d %s, up %v, mesh %t\n", s.Fleet, s.Rank, s.Zone, s.Up.Round(time.Second), s.Core.Mesh)
+	fmt.Fprintf(w, "open\t%d\tsessions\t%d\tqueue\t%d\tpressed\t%.2f\n", s.Open, s.Sessions, s.Queue, s.Core.Pressed)
+	fmt.Fprintf(w, "served\t%d\tfailed\t%d\tclients gone\t%d\tlate answers\t%d\n", s.Served, s.Failed, s.Gone, s.Late)
+	fmt.Fprintf(w, "attempts\t%d\toutcomes\t%v\tretry budget\t%.1f\n", s.Attempts, s.Outcomes, s.Core.Budget)
+	fmt.Fprintf(w, "refused\t%v\tturned away\t%v\n", s.Refused, s.TurnedAway)
+	fmt.Fprintf(w, "datagrams\t%+v\n", s.Datagrams)
+	fmt.Fprintln(w, "\nserver\tzone\tstate\tout\tghosts\tslow\tmissed\tcold for\tbudget")
+	states := map[decide.State]string{decide.Serving: "serving", decide.Draining: "draining", decide.Gone: "gone"}
+	for _, v := range s.Core.Servers {
+		cold := "-"
+		budget := "-"
+		if v.Cold > 0 {
+			cold, budget = v.Cold.Round(time.Millisecond).String(), fmt.Sprintf("%.2f", v.Budget)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.2f\t%.2f\t%s\t%s\n", v.ID, v.Zone, states[v.State], v.Out, v.Ghosts, v.Slow, v.Missed,
+			cold, budget)
+	}
+	fmt.Fprintln(w, "\ncustomer\tplan\tlevel\tmark\tpart\twhole\tstore\topen")
+	for _, v := range s.Core.Customers {
+		name := s.Names[v.Key]
+		if name == "" {
+			name = fmt.Sprintf("#%x", v.Key)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\n", name, v.Plan, v.Level, v.Mark, v.Part, v.Whole, v.Store, v.Open)
+	}
+	fmt.Fprintln(w, "\npeer\tknown\theard ago\tto tell")
+	for _, v := range s.Core.Peers {
+		fmt.Fprintf(w, "%d\t%t\t%v\t%d\n", v.Rank, v.Known, v.Heard.Round(time.Millisecond), v.Queue)
+	}
+}
+
+type keyCmd struct {
+	New    keyNewCmd    `cmd:"" help:"Make a member's key, and the digest of it for the settings."`
+	Digest keyDigestCmd `cmd:"" help:"Read a key from standard input and print its digest."`
+	Secret keySecretCmd `cmd:"" help:"Make a fleet's secret."`
+}
+
+type keyNewCmd struct {
+	Config string `required:"" type:"existingfile" help:"The fleet's settings; the digest is made with their secret."`
+}
+
+type keyDigestCmd struct {
+	Config string `required:"" type:"existingfile" help:"The fleet's settings."`
+}
+
+type keySecretCmd struct{}
+
+func printKey(file, key string) error {
+	f, err := config.Load(file)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("key     %s\ndigest  %s\n", key, f.Secret.Members().Sum([]byte(key)))
+	return nil
+}
+
+func (c *keyNewCmd) Run() error { return printKey(c.Config, keys.New()) }
+
+func (c *keyDigestCmd) Run() error {
+	raw, err := io.ReadAll(io.LimitReader(os.Stdin, 4096))
+	if err != nil {
+		return err
+	}
+	return printKey(c.Config, strings.TrimSpace(string(raw)))
+}
+
+func (c *keySecretCmd) Run() error {
+	s := keys.NewSecret()
+	fmt.Println(hex.EncodeToString(s[:]))
+	return nil
+}
--- a/config/config.go
+++ b/config/config.go
@@ -8,10 +8,9 @@
 	"fmt"
 	"math"
 	"os"
-	"slices"
-	"sort"
 	"time"
 
+	"winghatch/config/decode"
 	"winghatch/config/kdl"
 	"winghatch/decide"
 	"winghatch/keys"
@@ -34,7 +33,8 @@
 type Gateway struct {
 	Zone   string
 	Listen string // clients' WebSocket, host:port
-	Peer   string // peers' datagrams; empty if the fleet has none
+	Peer   string // where peers send their datagrams; empty if the fleet has none
+	Bind   string // where this gateway takes them, if that is another address than Peer
 	State  string // what `winghatch state` asks; empty: nothing listens
 }
 
@@ -92,42 +92,45 @@
 	if err != nil {
 		var e *kdl.Error
 		if errors.As(err, &e) {
-			return nil, Errors{{file, e.Pos, "document", e.Text}}
+			return nil, decode.Errors{{File: file, Pos: e.Pos, Field: "document", Text: e.Text}}
 		}
 		return nil, err
 	}
-	d := &decoder{file: file}
+	d := &decoder{Decoder: decode.Decoder{File: file}}
 	f := defaults()
 	found := 0
 	for _, n := range nodes {
 		if n.Name != "fleet" {
-			d.fail(n.Pos, n.Name, "%q is not known, want one node named \"fleet\"", n.Name)
+			d.Fail(n.Pos, n.Name, "%q is not known, want one node named \"fleet\"", n.Name)
 		} else if found++; found > 1 {
-			d.fail(n.Pos, "fleet", "given before, want one")
+			d.Fail(n.Pos, "fleet", "given before, want one")
 		} else {
 			d.fleet(f, n)
 		}
 	}
 	if found == 0 {
-		d.fail(kdl.Pos{Line: 1, Column: 1}, "fleet", "missing")
+		d.Fail(kdl.Pos{Line: 1, Column: 1}, "fleet", "missing")
 	}
-	if len(d.errs) > 0 {
-		slices.SortStableFunc(d.errs, func(a, b *Error) int {
-			if a.Pos.Line != b.Pos.Line {
-				return a.Pos.Line - b.Pos.Line
-			}
-			return a.Pos.Column - b.Pos.Column
-		})
-		return nil, d.errs
+	if err := d.Err(); err != nil {
+		return nil, err
 	}
 	for rank := range f.Gateways {
 		if _, err := f.Rank(rank); err != nil {
-			return nil, Errors{{file, nodes[0].Pos, "fleet", err.Error()}}
+			return nil, decode.Errors{{File: file, Pos: nodes[0].Pos, Field: "fleet", Text: err.Error()}}
 		}
 	}
 	return f, nil
 }
 
+// Draft reads a fleet node that may lack addresses, keys and the secret, as a day's file does; errors go to d.
+func Draft(d *decode.Decoder, n *kdl.Node) *Fleet {
+	f := defaults()
+	x := &decoder{Decoder: *d, draft: true}
+	x.fleet(f, n)
+	d.Errs = x.Errs
+	return f
+}
+
 func defaults() *Fleet {
 	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10,
 		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, NodeConns: 4, NodeCalls: 256,
@@ -140,8 +143,21 @@
 
 const most = math.MaxInt32
 
+// decoder adds the blocks of a fleet. A draft may lack what a runner of days fills in.
+type decoder struct {
+	decode.Decoder
+	draft bool
+}
+
+func (d *decoder) must(names ...string) []string {
+	if d.draft {
+		return nil
+	}
+	return names
+}
+
 func (d *decoder) fleet(f *Fleet, n *kdl.Node) {
-	f.Name = d.named("fleet", n, map[string]bool{})
+	f.Name = d.Named("fleet", n, map[string]bool{})
 	c := &f.Decide
 	zones := map[string]bool{}
 	classNames, planNames, memberNames := map[string]bool{}, map[string]bool{}, map[string]bool{}
@@ -151,45 +167,45 @@
 		m   Member
 	}
 	var members []plannedMember
-	d.block("", n, fields{
+	d.Block("", n, decode.Fields{
 		"secret":     d.secret(&f.Secret),
-		"list":       address(&f.List),
-		"list-kept":  text(&f.ListKept),
-		"max-units":  number(&c.MaxUnits, 0, most),
-		"settled":    flag(&c.SettledLater),
-		"intake":     rate(&c.PeerIntake),
-		"log":        choice(&f.Log.JSON, map[string]bool{"json": true, "text": false}),
-		"log-level":  choice(&f.Log.Level, map[string]string{"debug": "debug", "info": "info", "warn": "warn", "error": "error"}),
-		"subscribed": flag(&c.Subscribe),
-	}, blocks{
-		"zone": func(at string, n *kdl.Node) { d.named(at, n, zones) },
+		"list":       decode.Address(&f.List),
+		"list-kept":  decode.Text(&f.ListKept),
+		"max-units":  decode.Number(&c.MaxUnits, 0, most),
+		"settled":    decode.Flag(&c.SettledLater),
+		"intake":     decode.Rate(&c.PeerIntake),
+		"log":        decode.Choice(&f.Log.JSON, map[string]bool{"json": true, "text": false}),
+		"log-level":  decode.Choice(&f.Log.Level, map[string]string{"debug": "debug", "info": "info", "warn": "warn", "error": "error"}),
+		"subscribed": decode.Flag(&c.Subscribe),
+	}, decode.Blocks{
+		"zone": func(at string, n *kdl.Node) { d.Named(at, n, zones) },
 		"class": func(at string, n *kdl.Node) {
-			c.Classes = append(c.Classes, d.class(d.named(at, n, classNames), n))
+			c.Classes = append(c.Classes, d.class(d.Named(at, n, classNames), n))
 		},
 		"plan": func(at string, n *kdl.Node) {
-			c.Plans = append(c.Plans, d.plan(d.named(at, n, planNames), n))
+			c.Plans = append(c.Plans, d.plan(d.Named(at, n, planNames), n))
 		},
 		"gateway": func(at string, n *kdl.Node) { f.Gateways = append(f.Gateways, d.gateway(at, n, zones)) },
 		"member": func(at string, n *kdl.Node) {
-			name := d.named(at, n, memberNames)
+			name := d.Named(at, n, memberNames)
 			members = append(members, plannedMember{"member " + name, n.Pos, d.member(name, n)})
 		},
 		"limits": func(at string, n *kdl.Node) { d.limits(at, n, &c.Limits) },
 		"safety": func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
 		"prices": func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
 		"caps":   func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
-	}, "secret")
+	}, d.must("secret")...)
 	c.Gateways = len(f.Gateways)
-	if len(f.Gateways) == 0 {
-		d.fail(n.Pos, "gateway", "missing, want one or more")
+	if len(f.Gateways) == 0 && !d.draft {
+		d.Fail(n.Pos, "gateway", "missing, want one or more")
 	}
 	owner := map[keys.Digest]string{}
 	for _, p := range members {
 		if !planNames[p.m.Plan] && p.m.Plan != "" {
-			d.fail(p.pos, p.at+".plan", "%q, want one of %s", p.m.Plan, list(planNames))
+			d.Fail(p.pos, p.at+".plan", "%q, want one of %s", p.m.Plan, list(planNames))
 		}
 		if p.m.First >= len(f.Gateways) || p.m.Spread > len(f.Gateways) {
-			d.fail(p.pos, p.at+".spread", "first %d and spread %d, want gateways 0 to %d", p.m.First, p.m.Spread,
+			d.Fail(p.pos, p.at+".spread", "first %d and spread %d, want gateways 0 to %d", p.m.First, p.m.Spread,
 				len(f.Gateways)-1)
 		}
 		if p.m.Spread == 0 {
@@ -197,28 +213,28 @@
 		}
 		for _, k := range p.m.Keys {
 			if o := owner[k]; o != "" {
-				d.fail(p.pos, p.at+".key", "%s, the key of %s", k, o)
+				d.Fail(p.pos, p.at+".key", "%s, the key of %s", k, o)
 			}
 			owner[k] = p.m.Name
 		}
 		f.Members = append(f.Members, p.m)
 	}
 	for i, g := range f.Gateways {
-		if c.Limits.Peers && g.Peer == "" {
-			d.fail(n.Pos, fmt.Sprintf("gateway[%d].peer", i), "missing, limits.peers is #true")
+		if c.Limits.Peers && g.Peer == "" && !d.draft {
+			d.Fail(n.Pos, fmt.Sprintf("gateway[%d].peer", i), "missing, limits.peers is #true")
 		}
 	}
 	if c.Limits.Peers && c.PeerIntake == 0 {
-		d.fail(n.Pos, "intake", "missing, limits.peers is #true")
+		d.Fail(n.Pos, "intake", "missing, limits.peers is #true")
 	}
 }
 
-func (d *decoder) secret(to *keys.Secret) func(setting) {
-	return func(s setting) {
-		raw, err := hex.DecodeString(s.value.Text)
+func (d *decoder) secret(to *keys.Secret) func(decode.Setting) {
+	return func(s decode.Setting) {
+		raw, err := hex.DecodeString(s.Value.Text)
 		if err != nil || len(raw) != len(to) {
-			s.d.fail(s.value.Pos, s.field, "%d characters, want %d hexadecimal ones (winghatch key secret makes them)",
-				len(s.value.Text), 2*len(to))
+			d.Fail(s.Value.Pos, s.Field, "%d characters, want %d hexadecimal ones (winghatch key secret makes them)",
+				len(s.Value.Text), 2*len(to))
 			return
 		}
 		copy(to[:], raw)
@@ -229,25 +245,25 @@
 	k := decide.Class{Name: name, Worth: 1, Group: decide.GroupAll}
 	at := "class " + name
 	group := false
-	d.block(at, n, fields{
-		"effect": choice(&k.Effect, map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}),
-		"group": func(s setting) {
+	d.Block(at, n, decode.Fields{
+		"effect": decode.Choice(&k.Effect, map[string]decide.Effect{"safe": decide.Safe, "keyed": decide.Keyed, "unsafe": decide.Unsafe}),
+		"group": func(s decode.Setting) {
 			group = true
-			choice(&k.Group, map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell})(s)
+			decode.Choice(&k.Group, map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell})(s)
 		},
-		"window":     duration(&k.Window, time.Millisecond),
-		"aim":        duration(&k.Aim, time.Millisecond),
-		"deadline":   duration(&k.Deadline, time.Millisecond),
-		"worth":      number(&k.Worth, 0, most),
-		"late-worth": number(&k.LateWorth, 0, 1),
+		"window":     decode.Duration(&k.Window, time.Millisecond),
+		"aim":        decode.Duration(&k.Aim, time.Millisecond),
+		"deadline":   decode.Duration(&k.Deadline, time.Millisecond),
+		"worth":      decode.Number(&k.Worth, 0, most),
+		"late-worth": decode.Number(&k.LateWorth, 0, 1),
 	}, nil, "effect", "aim", "deadline")
 	switch {
 	case k.Effect == decide.Keyed && k.Window == 0:
-		d.fail(n.Pos, at+".window", "missing, the effect is keyed")
+		d.Fail(n.Pos, at+".window", "missing, the effect is keyed")
 	case k.Effect != decide.Keyed && (k.Window > 0 || group):
-		d.fail(n.Pos, at+".effect", "not keyed, yet window or group is given")
+		d.Fail(n.Pos, at+".effect", "not keyed, yet window or group is given")
 	case k.Deadline > 0 && k.Deadline < k.Aim:
-		d.fail(n.Pos, at+".deadline", "%v, want the aim of %v or more", k.Deadline, k.Aim)
+		d.Fail(n.Pos, at+".deadline", "%v, want the aim of %v or more", k.Deadline, k.Aim)
 	}
 	return k
 }
@@ -255,92 +271,92 @@
 func (d *decoder) plan(name string, n *kdl.Node) decide.Plan {
 	p := decide.Plan{Name: name, Price: 1}
 	at := "plan " + name
-	d.block(at, n, fields{
-		"rate": rate(&p.Rate), "burst": number(&p.Burst, 0, most),
-		"ceiling-rate": rate(&p.CeilingRate), "ceiling-burst": number(&p.CeilingBurst, 0, most),
-		"ceiling-slack": number(&p.CeilingSlack, 0, most), "max-open": whole(&p.MaxOpen, 0, most),
-		"price": number(&p.Price, 0, most), "over-worth": number(&p.OverWorth, 0, most),
-		"over-cost": number(&p.OverCost, 0, most),
+	d.Block(at, n, decode.Fields{
+		"rate": decode.Rate(&p.Rate), "burst": decode.Number(&p.Burst, 0, most),
+		"ceiling-rate": decode.Rate(&p.CeilingRate), "ceiling-burst": decode.Number(&p.CeilingBurst, 0, most),
+		"ceiling-slack": decode.Number(&p.CeilingSlack, 0, most), "max-open": decode.Whole(&p.MaxOpen, 0, most),
+		"price": decode.Number(&p.Price, 0, most), "over-worth": decode.Number(&p.OverWorth, 0, most),
+		"over-cost": decode.Number(&p.OverCost, 0, most),
 	}, nil)
 	if (p.Rate > 0) != (p.Burst > 0) {
-		d.fail(n.Pos, at+".burst", "rate %v and burst %v, want both or neither", p.Rate, p.Burst)
+		d.Fail(n.Pos, at+".burst", "rate %v and burst %v, want both or neither", p.Rate, p.Burst)
 	}
 	if (p.CeilingRate > 0) != (p.CeilingBurst > 0) {
-		d.fail(n.Pos, at+".ceiling-burst", "rate %v and burst %v, want both or neither", p.CeilingRate, p.CeilingBurst)
+		d.Fail(n.Pos, at+".ceiling-burst", "rate %v and burst %v, want both or neither", p.CeilingRate, p.CeilingBurst)
 	}
 	if p.CeilingRate > 0 && p.CeilingRate < p.Rate {
-		d.fail(n.Pos, at+".ceiling-rate", "%v, want the rate of %v or more", p.CeilingRate, p.Rate)
+		d.Fail(n.Pos, at+".ceiling-rate", "%v, want the rate of %v or more", p.CeilingRate, p.Rate)
 	}
 	return p
 }
 
 func (d *decoder) gateway(at string, n *kdl.Node, zones map[string]bool) Gateway {
 	var g Gateway
-	d.plain(at, n)
-	d.block(at, n, fields{"listen": address(&g.Listen), "peer": address(&g.Peer), "state": address(&g.State),
-		"zone": func(s setting) {
-			if text(&g.Zone)(s); len(zones) > 0 && !zones[g.Zone] {
-				s.wrong("one of " + list(zones))
+	d.Plain(at, n)
+	d.Block(at, n, decode.Fields{"listen": decode.Address(&g.Listen), "peer": decode.Address(&g.Peer), "peer-bind": decode.Address(&g.Bind), "state": decode.Address(&g.State),
+		"zone": func(s decode.Setting) {
+			if decode.Text(&g.Zone)(s); len(zones) > 0 && !zones[g.Zone] {
+				s.Wrong("one of " + list(zones))
 			}
-		}}, nil, "listen")
+		}}, nil, d.must("listen")...)
 	return g
 }
 
 func (d *decoder) member(name string, n *kdl.Node) Member {
 	m := Member{Name: name}
-	d.block("member "+name, n, fields{"plan": text(&m.Plan), "first": whole(&m.First, 0, most),
-		"spread": whole(&m.Spread, 1, most)},
-		blocks{"key": func(at string, n *kdl.Node) {
+	d.Block("member "+name, n, decode.Fields{"plan": decode.Text(&m.Plan), "first": decode.Whole(&m.First, 0, most),
+		"spread": decode.Whole(&m.Spread, 1, most)},
+		decode.Blocks{"key": func(at string, n *kdl.Node) {
 			for _, v := range n.Args {
 				k, err := keys.ParseDigest(v.Text)
 				if err != nil {
-					d.fail(v.Pos, "member "+name+".key", "%s, %v", v, err)
+					d.Fail(v.Pos, "member "+name+".key", "%s, %v", v, err)
 					continue
 				}
 				m.Keys = append(m.Keys, k)
 			}
 		}}, "plan")
-	if len(m.Keys) == 0 {
-		d.fail(n.Pos, "member "+name+".key", "missing, want one or more (winghatch key new makes them)")
+	if len(m.Keys) == 0 && !d.draft {
+		d.Fail(n.Pos, "member "+name+".key", "missing, want one or more (winghatch key new makes them)")
 	}
 	return m
 }
 
 func (d *decoder) limits(at string, n *kdl.Node, l *decide.Limits) {
-	d.plain(at, n)
-	d.block(at, n, fields{"attempts": whole(&l.MaxAttempts, 1, 100), "parallel": flag(&l.Parallel),
-		"cancel": flag(&l.Cancel), "peers": flag(&l.Peers), "retry-after": flag(&l.RetryAfter),
-		"max-retry-after": duration(&l.MaxRetryAfter, 0),
-		"connect-timeout": duration(&l.ConnectTimeout, time.Millisecond)}, nil)
+	d.Plain(at, n)
+	d.Block(at, n, decode.Fields{"attempts": decode.Whole(&l.MaxAttempts, 1, 100), "parallel": decode.Flag(&l.Parallel),
+		"cancel": decode.Flag(&l.Cancel), "peers": decode.Flag(&l.Peers), "retry-after": decode.Flag(&l.RetryAfter),
+		"max-retry-after": decode.Duration(&l.MaxRetryAfter, 0),
+		"connect-timeout": decode.Duration(&l.ConnectTimeout, time.Millisecond)}, nil)
 }
 
 func (d *decoder) safety(at string, n *kdl.Node, s *decide.Safety) {
-	d.plain(at, n)
-	d.block(at, n, fields{"answer-slack": duration(&s.AnswerSlack, 0), "drain-grace": duration(&s.DrainGrace, 0),
-		"cold-from": number(&s.ColdFrom, 0, 1), "cold-for": duration(&s.ColdFor, 0),
-		"fall-multiple": number(&s.FallMultiple, 0, most), "fall-window": duration(&s.FallWindow, 0),
-		"ask-within": duration(&s.AskWithin, 0)}, nil)
+	d.Plain(at, n)
+	d.Block(at, n, decode.Fields{"answer-slack": decode.Duration(&s.AnswerSlack, 0), "drain-grace": decode.Duration(&s.DrainGrace, 0),
+		"cold-from": decode.Number(&s.ColdFrom, 0, 1), "cold-for": decode.Duration(&s.ColdFor, 0),
+		"fall-multiple": decode.Number(&s.FallMultiple, 0, most), "fall-window": decode.Duration(&s.FallWindow, 0),
+		"ask-within": decode.Duration(&s.AskWithin, 0)}, nil)
 }
 
 func (d *decoder) prices(at string, n *kdl.Node, p *decide.Prices) {
-	d.plain(at, n)
-	d.block(at, n, fields{"cross-zone": number(&p.CrossZone, 0, most), "waste": number(&p.Waste, 0, most),
-		"probe": number(&p.Probe, 0, most), "peer": number(&p.Peer, 0, most),
-		"late-fail": number(&p.LateFail, 0, most), "counter": number(&p.Counter, 0, most)}, nil)
+	d.Plain(at, n)
+	d.Block(at, n, decode.Fields{"cross-zone": decode.Number(&p.CrossZone, 0, most), "waste": decode.Number(&p.Waste, 0, most),
+		"probe": decode.Number(&p.Probe, 0, most), "peer": decode.Number(&p.Peer, 0, most),
+		"late-fail": decode.Number(&p.LateFail, 0, most), "counter": decode.Number(&p.Counter, 0, most)}, nil)
 }
 
 func (d *decoder) caps(at string, n *kdl.Node, c *Caps) {
-	d.plain(at, n)
-	d.block(at, n, fields{"sessions": whole(&c.Sessions, 1, most), "open": whole(&c.Open, 1, most),
-		"session-open": whole(&c.SessionOpen, 1, most), "batch": whole(&c.Batch, 1, most),
-		"message": size(&c.Message), "queue": size(&c.Queue), "handshake": duration(&c.Handshake, time.Millisecond),
-		"write": duration(&c.Write, time.Millisecond), "node-connections": whole(&c.NodeConns, 1, 1024),
-		"node-calls": whole(&c.NodeCalls, 1, most), "node-idle": duration(&c.NodeIdle, time.Millisecond)}, nil)
+	d.Plain(at, n)
+	d.Block(at, n, decode.Fields{"sessions": decode.Whole(&c.Sessions, 1, most), "open": decode.Whole(&c.Open, 1, most),
+		"session-open": decode.Whole(&c.SessionOpen, 1, most), "batch": decode.Whole(&c.Batch, 1, most),
+		"message": decode.Size(&c.Message), "queue": decode.Size(&c.Queue), "handshake": decode.Duration(&c.Handshake, time.Millisecond),
+		"write": decode.Duration(&c.Write, time.Millisecond), "node-connections": decode.Whole(&c.NodeConns, 1, 1024),
+		"node-calls": decode.Whole(&c.NodeCalls, 1, most), "node-idle": decode.Duration(&c.NodeIdle, time.Millisecond)}, nil)
 }
 
 func list(m map[string]bool) string {
 	s := ""
-	for i, k := range sorted(m) {
+	for i, k := range decode.Sorted(m) {
 		if i > 0 {
 			s += ", "
 		}
@@ -351,18 +367,3 @@
 	}
 	return s
 }
-
-func sorted[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
-
-func names(f fields, b blocks) []string {
-	out := append(sorted(f), sorted(b)...)
-	sort.Strings(out)
-	return out
-}
--- /dev/null
+++ b/config/format.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"winghatch/decide"
+)
+
+// Format writes a fleet as a document that Parse reads back to the same fleet.
+func Format(f *Fleet) []byte {
+	w := &writer{}
+	c := &f.Decide
+	w.open("fleet %s", quote(f.Name))
+	w.set("secret", quote(hex.EncodeToString(f.Secret[:])))
+	w.text("list", f.List)
+	w.text("list-kept", f.ListKept)
+	w.set("log", quote(map[bool]string{true: "json", false: "text"}[f.Log.JSON]))
+	w.text("log-level", f.Log.Level)
+	w.number("max-units", c.MaxUnits)
+	w.flag("settled", c.SettledLater)
+	w.flag("subscribed", c.Subscribe)
+	w.rate("intake", c.PeerIntake)
+	for _, k := range c.Classes {
+		w.class(k)
+	}
+	for _, p := range c.Plans {
+		w.plan(p)
+	}
+	l := c.Limits
+	w.open("limits")
+	w.set("attempts", strconv.Itoa(l.MaxAttempts))
+	w.flag("parallel", l.Parallel)
+	w.flag("cancel", l.Cancel)
+	w.flag("peers", l.Peers)
+	w.flag("retry-after", l.RetryAfter)
+	w.duration("max-retry-after", l.MaxRetryAfter)
+	w.duration("connect-timeout", l.ConnectTimeout)
+	w.close()
+	s := c.Safety
+	w.open("safety")
+	w.duration("answer-slack", s.AnswerSlack)
+	w.duration("drain-grace", s.DrainGrace)
+	w.number("cold-from", s.ColdFrom)
+	w.duration("cold-for", s.ColdFor)
+	w.number("fall-multiple", s.FallMultiple)
+	w.duration("fall-window", s.FallWindow)
+	w.duration("ask-within", s.AskWithin)
+	w.close()
+	p := c.Prices
+	w.open("prices")
+	w.number("cross-zone", p.CrossZone)
+	w.number("waste", p.Waste)
+	w.number("probe", p.Probe)
+	w.number("peer", p.Peer)
+	w.number("late-fail", p.LateFail)
+	w.number("counter", p.Counter)
+	w.close()
+	w.caps(f.Caps)
+	for _, g := range f.Gateways {
+		w.open("gateway")
+		w.text("zone", g.Zone)
+		w.text("listen", g.Listen)
+		w.text("peer", g.Peer)
+		w.text("peer-bind", g.Bind)
+		w.text("state", g.State)
+		w.close()
+	}
+	for _, m := range f.Members {
+		w.open("member %s", quote(m.Name))
+		w.text("plan", m.Plan)
+		w.set("first", strconv.Itoa(m.First))
+		w.set("spread", strconv.Itoa(m.Spread))
+		for _, k := range m.Keys {
+			w.set("key", quote(k.String()))
+		}
+		w.close()
+	}
+	w.close()
+	return w.b.Bytes()
+}
+
+// writer writes blocks; a setting that has its zero value is left out unless a zero says something.
+type writer struct {
+	b     bytes.Buffer
+	depth int
+}
+
+func (w *writer) line(s string) { fmt.Fprintf(&w.b, "%s%s\n", strings.Repeat("    ", w.depth), s) }
+
+func (w *writer) open(format string, args ...any) {
+	w.line(fmt.Sprintf(format, args...) + " {")
+	w.depth++
+}
+
+func (w *writer) close() {
+	w.depth--
+	w.line("}")
+}
+
+func (w *writer) set(name, value string) { w.line(name + " " + value) }
+
+func (w *writer) text(name, v string) {
+	if v != "" {
+		w.set(name, quote(v))
+	}
+}
+
+func (w *writer) flag(name string, v bool) { w.set(name, "#"+strconv.FormatBool(v)) }
+
+func (w *writer) number(name string, v float64) { w.set(name, strconv.FormatFloat(v, 'g', -1, 64)) }
+
+func (w *writer) duration(name string, v time.Duration) { w.set(name, quote(v.String())) }
+
+func (w *writer) rate(name string, v float64) {
+	w.set(name, quote(strconv.FormatFloat(v, 'g', -1, 64)+"/s"))
+}
+
+func (w *writer) class(k decide.Class) {
+	w.open("class %s", quote(k.Name))
+	w.set("effect", quote([...]string{"unsafe", "keyed", "safe"}[k.Effect]))
+	if k.Effect == decide.Keyed {
+		w.set("group", quote([...]string{"cell", "zone", "all"}[k.Group]))
+		w.duration("window", k.Window)
+	}
+	w.duration("aim", k.Aim)
+	w.duration("deadline", k.Deadline)
+	w.number("worth", k.Worth)
+	w.number("late-worth", k.LateWorth)
+	w.close()
+}
+
+func (w *writer) plan(p decide.Plan) {
+	w.open("plan %s", quote(p.Name))
+	w.rate("rate", p.Rate)
+	w.number("burst", p.Burst)
+	w.rate("ceiling-rate", p.CeilingRate)
+	w.number("ceiling-burst", p.CeilingBurst)
+	w.number("ceiling-slack", p.CeilingSlack)
+	w.set("max-open", strconv.Itoa(p.MaxOpen))
+	w.number("price", p.Price)
+	w.number("over-worth", p.OverWorth)
+	w.number("over-cost", p.OverCost)
+	w.close()
+}
+
+func (w *writer) caps(c Caps) {
+	w.open("caps")
+	w.set("sessions", strconv.Itoa(c.Sessions))
+	w.set("open", strconv.Itoa(c.Open))
+	w.set("session-open", strconv.Itoa(c.SessionOpen))
+	w.set("batch", strconv.Itoa(c.Batch))
+	w.set("message", strconv.Itoa(c.Message))
+	w.set("queue", strconv.Itoa(c.Queue))
+	w.duration("handshake", c.Handshake)
+	w.duration("write", c.Write)
+	w.set("node-connections", strconv.Itoa(c.NodeConns))
+	w.set("node-calls", strconv.Itoa(c.NodeCalls))
+	w.duration("node-idle", c.NodeIdle)
+	w.close()
+}
+
+// quote writes a string as KDL has it; only what may not stand in one is escaped.
+func quote(s string) string {
+	var b strings.Builder
+	b.WriteByte('"')
+	for _, c := range s {
+		switch {
+		case c == '"' || c == '\\':
+			b.WriteByte('\\')
+			b.WriteRune(c)
+		case c < ' ' || c == 0x7f || c >= 0x80 && c <= 0x9f || c >= 0x2000 && c <= 0x206f || c == 0xfeff:
+			fmt.Fprintf(&b, `\u{%x}`, c)
+		default:
+			b.WriteRune(c)
+		}
+	}
+	b.WriteByte('"')
+	return b.String()
+}
--- /dev/null
+++ b/day/script.go
@@ -0,0 +1,221 @@
+// Package day plays days against real processes: gateways as processes of their own, nodes, list and clients
+// on sockets of this one, and troubles by a script; and has the records judged.
+package day
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"winghatch/config"
+	"winghatch/config/decode"
+	"winghatch/config/kdl"
+)
+
+// Script is a day.
+type Script struct {
+	Name     string
+	Length   time.Duration
+	Seed     int
+	Fleet    *config.Fleet // without addresses, keys and secret
+	Nodes    []Nodes
+	ListLag  time.Duration
+	Load     Load
+	Troubles []Trouble
+	Keyed    map[string]time.Duration
+}
+
+// Nodes are some alike.
+type Nodes struct {
+	Count, Cores, Queue int
+	Cell                int
+	Speed               float64
+	Zone                string
+	Work                map[string]time.Duration // by class
+}
+
+// Load is what clients ask.
+type Load struct {
+	Rate    float64
+	Retries int
+	Wait    time.Duration
+	Classes []ClassLoad
+}
+
+// ClassLoad is a class's part in it.
+type ClassLoad struct {
+	Class string
+	Share float64
+	Units int
+}
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Kind  string
+	At    time.Duration
+	For   time.Duration
+	Count int     // of nodes, gateways or members, as the kind has it
+	Size  float64 // times, or a share
+	Class string
+	Pos   kdl.Pos
+}
+
+// Kinds are the troubles that can be played, with what Count and Size are to them.
+var Kinds = map[string]string{
+	"ageing":         "count nodes grow slower, up to size times",
+	"balancer_crash": "count gateways are killed and come back after the time",
+	"balancer_roll":  "every gateway in turn is stopped by SIGTERM and started anew",
+	"balancer_stall": "count gateways stand still (SIGSTOP)",
+	"burst":          "size times the usual orders",
+	"class_fail":     "count nodes leave a class unanswered",
+	"cold_start":     "count more nodes are started cold",
+	"drain":          "count nodes drain, go, and come back cold after the time",
+	"fast_errors":    "count nodes fail a share of size of their calls quickly",
+	"heavy_tail":     "one of 50 calls of a class costs size times the usual",
+	"hot_caller":     "count members use only one of their gateways",
+	"hot_key":        "one member orders size times its usual",
+	"list_bad":       "the list tells of a bad address, of a node twice and of an old version",
+	"list_late":      "the list tells of changes only after the time",
+	"list_silent":    "the list says nothing, its connections stay",
+	"list_stale":     "the list's process is gone and comes back after the time",
+	"lost_peers":     "a share of size of the peers' messages is lost",
+	"reconnect":      "all sessions leave and come again at one stroke",
+	"report_gap":     "count nodes tell nothing of their load",
+	"shared_slow":    "all nodes are size times slower",
+	"slow":           "count nodes are size times slower",
+	"tenant_burst":   "count members order size times their usual",
+	"vanish":         "count nodes go silent and come back cold after the time",
+	"cut":            "the connections of count nodes are broken",
+}
+
+// Parse reads a day's file; file is only named in errors.
+func Parse(file string, src []byte) (*Script, error) {
+	nodes, err := kdl.Parse(file, src)
+	if err != nil {
+		var e *kdl.Error
+		if errors.As(err, &e) {
+			return nil, decode.Errors{{File: file, Pos: e.Pos, Field: "document", Text: e.Text}}
+		}
+		return nil, err
+	}
+	d := &decode.Decoder{File: file}
+	s := &Script{Length: 10 * time.Second, Seed: 1}
+	if len(nodes) != 1 || nodes[0].Name != "day" {
+		return nil, decode.Errors{{File: file, Pos: kdl.Pos{Line: 1, Column: 1}, Field: "day", Text: "want one node named \"day\""}}
+	}
+	s.read(d, nodes[0])
+	return s, d.Err()
+}
+
+func (s *Script) read(d *decode.Decoder, n *kdl.Node) {
+	s.Name = d.Named("day", n, map[string]bool{})
+	var fleet, load *kdl.Node
+	var nodes, troubles []*kdl.Node
+	later := func(to *[]*kdl.Node) func(string, *kdl.Node) {
+		return func(_ string, n *kdl.Node) { *to = append(*to, n) }
+	}
+	d.Block("", n, decode.Fields{
+		"length": decode.Duration(&s.Length, 100*time.Millisecond), "seed": decode.Whole(&s.Seed, 0, math.MaxInt32),
+		"list-lag": decode.Duration(&s.ListLag, 0),
+	}, decode.Blocks{
+		"fleet": func(_ string, n *kdl.Node) { fleet = n }, "load": func(_ string, n *kdl.Node) { load = n },
+		"nodes": later(&nodes), "trouble": later(&troubles),
+	})
+	if fleet == nil || load == nil || len(nodes) == 0 {
+		d.Fail(n.Pos, "day", "want a fleet, nodes and a load")
+		return
+	}
+	s.Fleet = config.Draft(d, fleet)
+	classes := map[string]bool{}
+	for _, k := range s.Fleet.Decide.Classes {
+		classes[k.Name] = true
+	}
+	for i, n := range nodes {
+		s.Nodes = append(s.Nodes, readNodes(d, fmt.Sprintf("nodes[%d]", i), n, classes))
+	}
+	s.Load = readLoad(d, load, classes)
+	for _, n := range troubles {
+		s.Troubles = append(s.Troubles, readTrouble(d, n, classes))
+	}
+	if len(s.Fleet.Members) == 0 {
+		d.Fail(fleet.Pos, "fleet.member", "missing, want one or more")
+	}
+}
+
+func count(d *decode.Decoder, at string, n *kdl.Node, to *int) {
+	if len(n.Args) != 1 || n.Args[0].Kind != kdl.Number || n.Args[0].Num < 1 || n.Args[0].Num != math.Trunc(n.Args[0].Num) {
+		d.Fail(n.Pos, at, "want how many there are, 1 or more")
+		return
+	}
+	*to = int(n.Args[0].Num)
+}
+
+func className(to *string, classes map[string]bool) func(decode.Setting) {
+	return func(s decode.Setting) {
+		if *to = s.Value.Text; !classes[*to] {
+			s.Wrong("a class of the fleet")
+		}
+	}
+}
+
+func readNodes(d *decode.Decoder, at string, n *kdl.Node, classes map[string]bool) Nodes {
+	x := Nodes{Cores: 2, Queue: 64, Speed: 1, Work: map[string]time.Duration{}}
+	count(d, at, n, &x.Count)
+	d.Block(at, n, decode.Fields{"cores": decode.Whole(&x.Cores, 1, 1024), "queue": decode.Whole(&x.Queue, 0, 1<<20),
+		"speed": decode.Number(&x.Speed, 0.01, 100), "zone": decode.Text(&x.Zone), "cell": decode.Whole(&x.Cell, 0, 1<<20)},
+		decode.Blocks{"work": func(at string, n *kdl.Node) {
+			if len(n.Args) != 2 || !classes[n.Args[0].Text] {
+				d.Fail(n.Pos, at, "want a class of the fleet and a duration")
+				return
+			}
+			var v time.Duration
+			decode.Duration(&v, time.Microsecond)(decode.NewSetting(d, at, n.Args[1]))
+			x.Work[n.Args[0].Text] = v
+		}})
+	for c := range classes {
+		if x.Work[c] == 0 {
+			d.Fail(n.Pos, at+".work", "missing for class %q", c)
+		}
+	}
+	return x
+}
+
+func readLoad(d *decode.Decoder, n *kdl.Node, classes map[string]bool) Load {
+	l := Load{Wait: 50 * time.Millisecond}
+	sum := 0.0
+	d.Block("load", n, decode.Fields{"rate": decode.Rate(&l.Rate), "retries": decode.Whole(&l.Retries, 0, 10),
+		"wait": decode.Duration(&l.Wait, 0)}, decode.Blocks{"class": func(at string, n *kdl.Node) {
+		c := ClassLoad{Units: 1}
+		if len(n.Args) != 1 || !classes[n.Args[0].Text] {
+			d.Fail(n.Pos, at, "want a class of the fleet")
+			return
+		}
+		c.Class = n.Args[0].Text
+		d.Block(at, n, decode.Fields{"share": decode.Number(&c.Share, 0, 1), "units": decode.Whole(&c.Units, 1, 1000)}, nil, "share")
+		sum += c.Share
+		l.Classes = append(l.Classes, c)
+	}}, "rate")
+	if math.Abs(sum-1) > 1e-6 {
+		d.Fail(n.Pos, "load.class.share", "%v in all, want 1", sum)
+	}
+	return l
+}
+
+func readTrouble(d *decode.Decoder, n *kdl.Node, classes map[string]bool) Trouble {
+	t := Trouble{Pos: n.Pos, Count: 1, Size: 1}
+	if len(n.Args) != 1 || Kinds[n.Args[0].Text] == "" {
+		d.Fail(n.Pos, "trouble", "%v, want one of %v", n.Args, decode.Sorted(Kinds))
+		return t
+	}
+	t.Kind = n.Args[0].Text
+	at := "trouble " + t.Kind
+	d.Block(at, n, decode.Fields{"at": decode.Duration(&t.At, 0), "for": decode.Duration(&t.For, 0),
+		"count": decode.Whole(&t.Count, 1, 10000), "size": decode.Number(&t.Size, 0, 10000),
+		"class": className(&t.Class, classes)}, nil, "at")
+	if slices.Contains([]string{"class_fail", "heavy_tail"}, t.Kind) && t.Class == "" {
+		d.Fail(n.Pos, at+".class", "missing")
+	}
+	return t
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -99,7 +100,7 @@
 	closers = append(closers, ln)
 	var peers Peers
 	if cfg.Limits.Peers {
-		pc, err := net.ListenPacket("udp", me.Peer)
+		pc, err := net.ListenPacket("udp", cmp.Or(me.Bind, me.Peer))
 		if err != nil {
 			return nil, fmt.Errorf("gateway %d: peer: %w", o.Rank, err)
 		}
