--- a/config/config.go
+++ b/config/config.go
@@ -224,7 +224,7 @@
 			d.Fail(n.Pos, fmt.Sprintf("gateway[%d].peer", i), "missing, limits.peers is #true")
 		}
 	}
-	if c.Limits.Peers && c.PeerIntake == 0 {
+	if c.Limits.Peers && c.PeerIntake == 0 && !d.Has("intake") {
 		d.Fail(n.Pos, "intake", "missing, limits.peers is #true")
 	}
 }
--- a/config/decode/decode.go
+++ b/config/decode/decode.go
@@ -58,6 +58,11 @@
 	return d.Errs
 }
 
+// Has reports whether an error of the field was noted.
+func (d *Decoder) Has(field string) bool {
+	return slices.ContainsFunc(d.Errs, func(e *Error) bool { return e.Field == field })
+}
+
 // Fail notes an error.
 func (d *Decoder) Fail(p kdl.Pos, field, format string, args ...any) {
 	d.Errs = append(d.Errs, &Error{d.File, p, field, fmt.Sprintf(format, args...)})
--- a/config/kdl/kdl.go
+++ b/config/kdl/kdl.go
@@ -105,7 +105,7 @@
 		{Name: "Raw2", Pattern: `##"[^\r\n]*?"##`},
 		{Name: "Raw1", Pattern: `#"[^\r\n]*?"#`},
 		{Name: "Multi", Pattern: `"""(?s:(?:\\.|[^\\])*?)"""`},
-		{Name: "Quoted", Pattern: `"(?:\\(?s:.)|[^"\\\r\n\x{85}\x{0B}\x{0C}\x{2028}\x{2029}])*"`},
+		{Name: "Quoted", Pattern: `"(?:\\(?:(?:` + space + `|` + newline + `)+|(?s:.))|[^"\\\r\n\x{85}\x{0B}\x{0C}\x{2028}\x{2029}])*"`},
 		{Name: "Keyword", Pattern: `#-?[a-z]+`},
 		{Name: "Word", Pattern: ident},
 		{Name: "Punct", Pattern: `[(){};=]`},
--- /dev/null
+++ b/config/kdl/kdl_test.go
@@ -0,0 +1,147 @@
+package kdl
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func one(t *testing.T, in string) Value {
+	t.Helper()
+	nodes, err := Parse("f", []byte("n "+in))
+	if err != nil || len(nodes) != 1 || len(nodes[0].Args) != 1 {
+		t.Fatalf("%s: %v, %v", in, nodes, err)
+	}
+	return nodes[0].Args[0]
+}
+
+func TestStrings(t *testing.T) {
+	for in, want := range map[string]string{
+		`"a\n\t\"\\\s\u{e9}"`:           "a\n\t\"\\ é",
+		"\"a\\  \n  b\"":                "ab",
+		`#"a\n"#`:                       `a\n`,
+		`##"a"#b"##`:                    `a"#b`,
+		`word-1.x`:                      "word-1.x",
+		`日本`:                            "日本",
+		`-a`:                            "-a",
+		`.a`:                            ".a",
+		"\"\"\"\n  a\n   b\n\n  \"\"\"": "a\n b\n",
+		"#\"\"\"\n  a\\n\n  \"\"\"#":    `a\n`,
+		`""`:                            "",
+	} {
+		if v := one(t, in); v.Kind != String || v.Text != want {
+			t.Errorf("%s is %q, want %q", in, v.Text, want)
+		}
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for in, want := range map[string]float64{"0": 0, "-1": -1, "+1_000": 1000, "1.5e-3": .0015, "0x_f": -1, "0xFf": 255, "0o17": 15,
+		"0b101": 5, "1e3": 1000, "#inf": math.Inf(1), "#-inf": math.Inf(-1)} {
+		if want < 0 && in == "0x_f" {
+			continue
+		}
+		if v := one(t, in); v.Kind != Number || v.Num != want {
+			t.Errorf("%s is %v, want %v", in, v.Num, want)
+		}
+	}
+}
+
+func TestDocument(t *testing.T) {
+	nodes, err := Parse("f", []byte("\uFEFFa 1 x=#true /-2 /-y=3 \\ // on\n  #null {\n  /- gone {\n z\n }\n b; (t)c (u)1\n}\n/* x /* y */ z */ d /-{ e }\n/-\nf\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(nodes) != 2 || nodes[1].Name != "d" || len(nodes[1].Children) != 0 {
+		t.Fatalf("%+v", nodes)
+	}
+	a := nodes[0]
+	if len(a.Args) != 2 || a.Args[1].Kind != Null || len(a.Props) != 1 || !a.Props[0].Value.Bool || len(a.Children) != 2 {
+		t.Errorf("%+v", a)
+	}
+	if c := a.Children[1]; c.Type != "t" || c.Args[0].Type != "u" || c.Pos.Line != 6 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestErrors(t *testing.T) {
+	for in, want := range map[string]string{
+		"a {":                            "f:1",
+		"a }":                            "f:1:3",
+		"a\nb \"x":                       "f:2",
+		"a true":                         "#true",
+		"a 1x":                           "malformed",
+		"a 0x":                           "malformed",
+		"a 0xg":                          "malformed",
+		"a 1__.":                         "malformed",
+		"a .5":                           "before its point",
+		"1 a":                            "number",
+		"a #maybe":                       "not known",
+		`a "\q"`:                         "escape",
+		`a "\u{d800}"`:                   "no character",
+		"a {} 1":                         "after the block",
+		"a {} {}":                        "second block",
+		"a \"\"\"x\"\"\"":                "multi-line",
+		"a \"\"\"\n x\n  \"\"\"":         "not indented",
+		"a\x00":                          "U+0000",
+		"a \u202e":                       "U+202E",
+		"\xff":                           "not allowed",
+		"a=1":                            "f:1",
+		strings.Repeat("a {\n", 100_000): "deep",
+	} {
+		_, err := Parse("f", []byte(in))
+		if err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "f:") {
+			t.Errorf("%.40q: %v, want %q", in, err, want)
+		}
+	}
+}
+
+// TestAnyString reads any string that is quoted as the language asks.
+func TestAnyString(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := rapid.String().Draw(t, "s")
+		var b strings.Builder
+		for _, c := range s {
+			if c == '"' || c == '\\' || c < ' ' || c >= 0x7f {
+				b.WriteString(`\u{` + strings.ToLower(hex(c)) + `}`)
+			} else {
+				b.WriteRune(c)
+			}
+		}
+		nodes, err := Parse("f", []byte(`n "`+b.String()+`"`))
+		if err != nil || nodes[0].Args[0].Text != s {
+			t.Fatalf("%q: %v", s, err)
+		}
+	})
+}
+
+func hex(c rune) string {
+	const d = "0123456789abcdef"
+	s := ""
+	for v := uint32(c); v > 0 || s == ""; v >>= 4 {
+		s = string(d[v&15]) + s
+	}
+	return s
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"a 1 {\nb\n}", "a #\"x\"# \"\"\"\n x\n \"\"\"", "/- a\nb /*c*/ (t)1 x=#nan", "a \\\n 0x1f"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if len(in) > 4096 {
+			return
+		}
+		nodes, err := Parse("f", in)
+		if e, ok := err.(*Error); err != nil && (!ok || e.Pos.Line < 1 || e.Pos.Column < 1) {
+			t.Fatalf("error without a place: %v", err)
+		}
+		for _, n := range nodes {
+			if n.Pos.Line < 1 {
+				t.Fatalf("node without a place: %+v", n)
+			}
+		}
+	})
+}
--- a/day/script.go
+++ b/day/script.go
@@ -24,7 +24,6 @@
 	ListLag  time.Duration
 	Load     Load
 	Troubles []Trouble
-	Keyed    map[string]time.Duration
 }
 
 // Nodes are some alike.
@@ -112,35 +111,64 @@
 func (s *Script) read(d *decode.Decoder, n *kdl.Node) {
 	s.Name = d.Named("day", n, map[string]bool{})
 	var fleet, load *kdl.Node
+	like := ""
 	var nodes, troubles []*kdl.Node
 	later := func(to *[]*kdl.Node) func(string, *kdl.Node) {
 		return func(_ string, n *kdl.Node) { *to = append(*to, n) }
 	}
 	d.Block("", n, decode.Fields{
 		"length": decode.Duration(&s.Length, 100*time.Millisecond), "seed": decode.Whole(&s.Seed, 0, math.MaxInt32),
-		"list-lag": decode.Duration(&s.ListLag, 0),
+		"list-lag": decode.Duration(&s.ListLag, 0), "like": decode.Text(&like),
 	}, decode.Blocks{
 		"fleet": func(_ string, n *kdl.Node) { fleet = n }, "load": func(_ string, n *kdl.Node) { load = n },
 		"nodes": later(&nodes), "trouble": later(&troubles),
 	})
-	if fleet == nil || load == nil || len(nodes) == 0 {
-		d.Fail(n.Pos, "day", "want a fleet, nodes and a load")
-		return
-	}
-	s.Fleet = config.Draft(d, fleet)
 	classes := map[string]bool{}
-	for _, k := range s.Fleet.Decide.Classes {
-		classes[k.Name] = true
-	}
-	for i, n := range nodes {
-		s.Nodes = append(s.Nodes, readNodes(d, fmt.Sprintf("nodes[%d]", i), n, classes))
+	switch {
+	case like != "":
+		s.like(d, n, like, fleet != nil || load != nil || len(nodes) > 0, classes)
+	case fleet == nil || load == nil || len(nodes) == 0:
+		d.Fail(n.Pos, "day", "want a fleet, nodes and a load, or another day in \"like\"")
+	default:
+		s.Fleet = config.Draft(d, fleet)
+		for _, k := range s.Fleet.Decide.Classes {
+			classes[k.Name] = true
+		}
+		for i, n := range nodes {
+			s.Nodes = append(s.Nodes, readNodes(d, fmt.Sprintf("nodes[%d]", i), n, classes))
+		}
+		s.Load = readLoad(d, load, classes)
+		if len(s.Fleet.Members) == 0 {
+			d.Fail(fleet.Pos, "fleet.member", "missing, want one or more")
+		}
 	}
-	s.Load = readLoad(d, load, classes)
 	for _, n := range troubles {
 		s.Troubles = append(s.Troubles, readTrouble(d, n, classes))
 	}
-	if len(s.Fleet.Members) == 0 {
-		d.Fail(fleet.Pos, "fleet.member", "missing, want one or more")
+}
+
+// like takes fleet, nodes and load from a built-in day.
+func (s *Script) like(d *decode.Decoder, n *kdl.Node, name string, own bool, classes map[string]bool) {
+	src, err := files.ReadFile("files/" + name + ".kdl")
+	if err != nil || name == s.Name {
+		d.Fail(n.Pos, "like", "%q, want another of the built-in days", name)
+		return
+	}
+	if own {
+		d.Fail(n.Pos, "like", "%q, yet the day has a fleet, nodes or load of its own", name)
+		return
+	}
+	base, err := Parse(name, src)
+	if err != nil {
+		d.Fail(n.Pos, "like", "%q: %v", name, err)
+		return
+	}
+	s.Fleet, s.Nodes, s.Load = base.Fleet, base.Nodes, base.Load
+	if s.ListLag == 0 {
+		s.ListLag = base.ListLag
+	}
+	for _, k := range s.Fleet.Decide.Classes {
+		classes[k.Name] = true
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Seed int64     // 0: from the time
 	Tape io.Writer // nil: nothing is recorded
 	Log  *slog.Logger
+
+	Tamper Tamper
 }
 
 // Gateway is a whole running gateway.
@@ -125,7 +127,7 @@
 	if g.loop, err = NewLoop(cfg, o.Seed, g.clock.Now, g.pool, peers, tp, g.log); err != nil {
 		return nil, err
 	}
-	g.loop.limit = int64(f.Caps.Open)
+	g.loop.limit, g.loop.tamper = int64(f.Caps.Open), o.Tamper
 	ok = true
 	g.run(ln, sl)
 	return g, nil
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -64,6 +64,13 @@
 	call *upstream.Call
 }
 
+// Tamper breaks a gateway on purpose, to try the judge of the rules; nothing else sets it.
+type Tamper struct {
+	Event   func(decide.Event) decide.Event // nil: the core is not told
+	Actions func(decide.Event, []decide.Action) []decide.Action
+	Final   func(f front.Final, done func(front.Final))
+}
+
 // Counters are read by anyone.
 type Counters struct {
 	Open    atomic.Int64 // calls in the front's and the loop's hands
@@ -94,6 +101,7 @@
 	turns   int64
 	settle  bool
 	limit   int64 // calls open at once
+	tamper  Tamper
 	done    chan struct{}
 	quit    chan struct{}
 	classes map[string]*decide.Class
@@ -301,6 +309,10 @@
 	}
 	l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
 		"attempts", len(o.tries), "took", l.now-o.at)
+	if l.tamper.Final != nil {
+		l.tamper.Final(f, o.Done)
+		return
+	}
 	o.Done(f)
 }
 
@@ -312,7 +324,15 @@
 }
 
 func (l *Loop) handle(ev decide.Event) {
+	if l.tamper.Event != nil {
+		if ev = l.tamper.Event(ev); ev == nil {
+			return
+		}
+	}
 	acts := l.core.Handle(l.now, ev)
+	if l.tamper.Actions != nil {
+		acts = l.tamper.Actions(ev, acts)
+	}
 	if l.tape != nil {
 		if err := l.tape.Write(l.now, ev, acts); err != nil {
 			l.log.Error("the tape can't be written, recording ends", "err", err)
--- /dev/null
+++ b/jsonrpc/jsonrpc_test.go
@@ -0,0 +1,77 @@
+package jsonrpc
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	for in, want := range map[string]struct {
+		id     ID
+		method string
+		bad    bool
+		quiet  bool
+	}{
+		`{"jsonrpc":"2.0","method":"m","id":1}`:                     {"1", "m", false, false},
+		`{"jsonrpc":"2.0","method":"m","id":"\u0061"}`:              {`"a"`, "m", false, false},
+		`{"jsonrpc":"2.0","method":"m","id":null}`:                  {"null", "m", false, false},
+		`{"jsonrpc":"2.0","method":"m","id":-1.5e3,"params":[1]}`:   {"-1.5e3", "m", false, false},
+		`{"jsonrpc":"2.0","method":"m"}`:                            {"", "m", false, true},
+		`{"jsonrpc":"2.0","method":"m","id":{}}`:                    {"null", "", true, false},
+		`{"jsonrpc":"2.0","method":"m","id":true}`:                  {"null", "", true, false},
+		`{"jsonrpc":"1.0","method":"m","id":7}`:                     {"7", "", true, false},
+		`{"method":"m","id":7}`:                                     {"7", "", true, false},
+		`{"jsonrpc":2.0,"method":"m","id":7}`:                       {"7", "", true, false},
+		`{"jsonrpc":"2.0","method":1,"id":7}`:                       {"7", "", true, false},
+		`{"jsonrpc":"2.0","method":"","id":7}`:                      {"7", "", true, false},
+		`{"jsonrpc":"2.0","method":"m","params":"x","id":7}`:        {"7", "", true, false},
+		`{"jsonrpc":"2.0","id":7}`:                                  {"7", "", true, false},
+		`{"jsonrpc":"2.0","id":7,"result":1,"error":{"code":1}}`:    {"7", "", true, false},
+		`{"jsonrpc":"2.0","id":7,"result":null}`:                    {"7", "", false, false},
+		`{"jsonrpc":"2.0","id":7,"result":null,"error":{"code":1}}`: {"7", "", false, false},
+		`1`: {"null", "", true, false},
+	} {
+		items, batch, err := Parse([]byte(in), 10)
+		if err != nil || batch || len(items) != 1 {
+			t.Fatalf("%s: %v, %v", in, items, err)
+		}
+		it := items[0]
+		if it.ID != want.id || it.Method != want.method || it.Bad != want.bad || it.Notification() != want.quiet {
+			t.Errorf("%s: %+v, want %+v", in, it, want)
+		}
+	}
+}
+
+// TestBatches follows the examples of the specification's section 7.
+func TestBatches(t *testing.T) {
+	for in, code := range map[string]int{`{"jsonrpc": "2.0", "method": "foobar, "params": "bar", "baz]`: CodeParse, `[`: CodeParse, ``: CodeParse,
+		`[]`: CodeInvalidRequest, `[1,2,3,4]`: CodeInvalidRequest} {
+		if _, _, err := Parse([]byte(in), 3); err == nil || err.Code != code {
+			t.Errorf("%s: %v, want code %d", in, err, code)
+		}
+	}
+	items, batch, err := Parse([]byte(` [1, {"jsonrpc":"2.0","method":"m"}, {"jsonrpc":"2.0","method":"n","id":"x"}]`), 3)
+	if err != nil || !batch || len(items) != 3 || !items[0].Bad || !items[1].Notification() || items[2].ID != `"x"` {
+		t.Errorf("%+v %v %v", items, batch, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`[{"jsonrpc":"2.0","method":"m","id":1,"params":{}}]`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		items, _, err := Parse(in, 5)
+		if err == nil && len(items) == 0 || len(items) > 5 {
+			t.Fatalf("%d items, %v", len(items), err)
+		}
+		for _, it := range items {
+			if it.ID == "" {
+				continue
+			}
+			// What is answered must be JSON with the same id, whatever came.
+			out := AppendError(nil, it.ID, &Error{Code: 1, Message: "\x00\"<"})
+			if back, _, err := Parse(out, 1); err != nil || !json.Valid(out) || back[0].ID != it.ID {
+				t.Fatalf("%q is answered as %q", in, out)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/nodelist/nodelist_test.go
@@ -0,0 +1,107 @@
+package nodelist
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/decide"
+)
+
+func entry(addr, state string, started int64) Entry {
+	return Entry{Node: addr, State: state, Started: started}
+}
+
+func TestBook(t *testing.T) {
+	b := NewBook()
+	a, c := entry("10.0.0.1:1", "serving", 0), entry("10.0.0.2:1", "serving", 5000)
+	steps := []struct {
+		name        string
+		full, fresh bool
+		version     uint64
+		nodes       []Entry
+		err         error
+		kind        decide.FleetKind
+	}{
+		{"a change before any list", false, false, 3, []Entry{a}, ErrGap, 0},
+		{"the whole", true, true, 3, []Entry{a, c}, nil, decide.FleetFull},
+		{"a change", false, false, 4, []Entry{entry("10.0.0.1:1", "draining", 0)}, nil, decide.FleetDelta},
+		{"the same again", false, false, 4, []Entry{a}, ErrOld, 0},
+		{"an older one", false, false, 2, []Entry{a}, ErrOld, 0},
+		{"a gap", false, false, 6, []Entry{a}, ErrGap, 0},
+		{"an older whole", true, false, 3, nil, ErrOld, 0},
+		{"a newer whole", true, false, 9, []Entry{c}, nil, decide.FleetFull},
+		{"a list that began anew", true, true, 1, []Entry{c}, nil, decide.FleetFull},
+		{"a change of it", false, false, 2, []Entry{a}, nil, decide.FleetDelta},
+	}
+	for _, s := range steps {
+		ev, err := b.Take(time.Hour, s.full, s.fresh, &Update{Version: s.version, Now: 8000, Nodes: s.nodes})
+		if !errors.Is(err, s.err) || err == nil && ev.Kind != s.kind {
+			t.Errorf("%s: %v, %v", s.name, ev, err)
+		}
+	}
+}
+
+// TestStarts tells one start many times, with the list's clock running on: it stays one start.
+func TestStarts(t *testing.T) {
+	b := NewBook()
+	first := func(now time.Duration, listNow, started int64, version uint64) time.Duration {
+		ev, err := b.Take(now, true, false, &Update{Version: version, Now: listNow, Nodes: []Entry{entry("h:1", "serving", started)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ev.Servers[0].Started
+	}
+	at := first(time.Hour, 8000, 5000, 1)
+	if at != time.Hour-3*time.Second {
+		t.Errorf("started at %v", at)
+	}
+	if again := first(time.Hour+time.Second, 9100, 5000, 2); again != at {
+		t.Errorf("told again, the start moved from %v to %v", at, again)
+	}
+	if later := first(time.Hour+2*time.Second, 10000, 9900, 3); later != time.Hour+1900*time.Millisecond {
+		t.Errorf("a new start is at %v", later)
+	}
+	// A list whose clock stepped back never tells of a start to come.
+	if ahead := first(time.Hour+3*time.Second, 100, 20000, 4); ahead != time.Hour+3*time.Second {
+		t.Errorf("a start ahead of the list's clock is at %v", ahead)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for want, u := range map[string]Update{
+		"nodes[0].node: \"x\"":   {Nodes: []Entry{entry("x", "serving", 0)}},
+		"nodes[0].state: \"up\"": {Nodes: []Entry{entry("h:1", "up", 0)}},
+		"comes twice":            {Nodes: []Entry{entry("h:1", "serving", 0), entry("h:1", "gone", 0)}},
+	} {
+		b := NewBook()
+		if _, err := b.Take(0, true, true, &u); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+		if b.known {
+			t.Error("a wrong list was taken")
+		}
+	}
+}
+
+func TestKept(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "list.json")
+	u := Update{Version: 7, Nodes: []Entry{entry("h:1", "serving", 3)}}
+	if err := Keep(file, u); err != nil {
+		t.Fatal(err)
+	}
+	if back, err := Kept(file); err != nil || back.Version != 7 || back.Nodes[0] != u.Nodes[0] {
+		t.Errorf("%+v, %v", back, err)
+	}
+	raw, _ := os.ReadFile(file)
+	os.WriteFile(file, raw[:len(raw)/2], 0o600)
+	if _, err := Kept(file); err == nil {
+		t.Error("a torn file was taken")
+	}
+	if err := Keep(filepath.Join(file, "no", "folder"), u); err == nil {
+		t.Error("a list was kept nowhere")
+	}
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"winghatch/keys"
+)
+
+func pair(t *testing.T, intake float64) (a, b *Link, got chan string, aAddr, bAddr net.Addr) {
+	t.Helper()
+	var pcs []net.PacketConn
+	var addrs []string
+	for range 2 {
+		pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		pcs, addrs = append(pcs, pc), append(addrs, pc.LocalAddr().String())
+	}
+	o := Options{Fleet: "f", Peers: addrs, Secret: keys.Secret{1}, Intake: intake}
+	a, err := New(pcs[0], o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Rank = 1
+	if b, err = New(pcs[1], o); err != nil {
+		t.Fatal(err)
+	}
+	got = make(chan string, 1000)
+	go b.Serve(func(from int, text string) { got <- text })
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a, b, got, pcs[0].LocalAddr(), pcs[1].LocalAddr()
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("never: " + what)
+}
+
+// TestDropped sends what may not be taken beside what may, and counts.
+func TestDropped(t *testing.T) {
+	a, b, got, _, to := pair(t, 1000)
+	a.Send(1, "hello")
+	if s := <-got; s != "hello" {
+		t.Fatalf("got %q", s)
+	}
+	h := head{a.fleet, 0, 1, a.epoch, 2}
+	good := appendDatagram(nil, h, "x", a.hash)
+	bad := append([]byte(nil), good...)
+	bad[len(bad)-40] ^= 1
+	foreign := h
+	foreign.fleet[0]++
+	other := h
+	other.to = 0
+	old := h
+	old.epoch--
+	old.seq = 99
+	self := h
+	self.from = 1
+	sends := [][]byte{good, good, bad, good[:20], nil, append(good, 'x'), appendDatagram(nil, foreign, "x", a.hash),
+		appendDatagram(nil, other, "x", a.hash), appendDatagram(nil, old, "x", a.hash), appendDatagram(nil, self, "x", a.hash),
+		appendDatagram(nil, h, "x", keys.Secret{2}.Peers())}
+	for _, s := range sends {
+		if _, err := a.pc.WriteTo(s, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := Counts{Taken: 2, Forged: 5, Foreign: 3, Repeated: 2}
+	eventually(t, "all are counted", func() bool { return b.Counts() == want })
+	if s := <-got; s != "x" || len(got) > 0 {
+		t.Errorf("got %q and %d more", s, len(got))
+	}
+}
+
+// TestIntake floods a link: what is taken stays within the intake of the time that passed.
+func TestIntake(t *testing.T) {
+	a, b, _, _, _ := pair(t, 50)
+	began := time.Now()
+	sent := 0
+	for sent < 2000 {
+		a.Send(1, "x")
+		if sent++; sent%50 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	eventually(t, "some are over the intake", func() bool { return b.Counts().OverIntake > 0 })
+	if n, most := float64(b.Counts().Taken), 50+50*time.Since(began).Seconds(); n > most {
+		t.Errorf("%v were taken, %v at most", n, most)
+	}
+}
+
+func TestWindow(t *testing.T) {
+	var w window
+	for i, c := range []struct {
+		epoch, seq uint64
+		fresh      bool
+	}{{5, 1, true}, {5, 1, false}, {5, 3, true}, {5, 2, true}, {5, 2, false}, {5, 100, true}, {5, 3, false}, {5, 37, true},
+		{5, 36, false}, {4, 101, false}, {6, 1, true}, {5, 101, false}} {
+		if w.fresh(c.epoch, c.seq) != c.fresh {
+			t.Errorf("step %d: %+v", i, c)
+		}
+	}
+}
+
+func FuzzDatagram(f *testing.F) {
+	hash := keys.Secret{1}.Peers()
+	f.Add(appendDatagram(nil, head{from: 1, to: 2, epoch: 3, seq: 4}, "hi", hash))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if h, text, ok := parse(in, hash); ok {
+			if out := appendDatagram(nil, h, text, hash); string(out) != string(in) {
+				t.Fatalf("%x is read as %+v %q", in, h, text)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,298 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"winghatch/decide"
+	"winghatch/link"
+	emulated "winghatch/standin/node"
+	"winghatch/ws"
+)
+
+func options() Options {
+	return Options{ConnectTimeout: 2 * time.Second, Conns: 2, Calls: 1000, Idle: time.Minute,
+		Link: link.Options{WriteWait: 5 * time.Second}}
+}
+
+func send(p *Pool, addr, params string) (*Call, chan Result) {
+	got := make(chan Result, 2)
+	c := &Call{Node: addr, Method: "m", Params: []byte(params), Done: func(r Result) { got <- r }}
+	p.Send(c)
+	return c, got
+}
+
+func want(t *testing.T, got chan Result, o decide.Outcome) Result {
+	t.Helper()
+	select {
+	case r := <-got:
+		if r.Outcome != o {
+			t.Fatalf("outcome %d, want %d", r.Outcome, o)
+		}
+		return r
+	case <-time.After(20 * time.Second):
+		t.Fatalf("no outcome, want %d", o)
+	}
+	return Result{}
+}
+
+// server takes connections by hand: f gets each after its handshake.
+func server(t *testing.T, f func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				br := bufio.NewReader(nc)
+				u, err := ws.ReadUpgrade(br)
+				if err != nil {
+					return
+				}
+				nc.Write(u.Accept(Protocol))
+				f(nc, br)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// answerTo is the answer to the first call of a connection, as bytes of a frame.
+func answerTo(id int) []byte {
+	return ws.AppendFrame(nil, true, ws.Text, fmt.Appendf(nil, `{"jsonrpc":"2.0","result":{"units":2,"metered":3,"load":{"queue":1},"body":7},"id":%d}`, id), nil)
+}
+
+// TestCutInAnswer breaks a connection behind every byte of an answer: Reset until the last, then OK.
+func TestCutInAnswer(t *testing.T) {
+	whole := answerTo(1)
+	for at := 0; at <= len(whole); at += 7 {
+		if at+7 > len(whole) {
+			at = len(whole)
+		}
+		addr := server(t, func(nc net.Conn, br *bufio.Reader) {
+			r := ws.NewReader(br, ws.Server, 1<<20)
+			if _, err := r.Next(); err == nil {
+				nc.Write(whole[:at])
+			}
+		})
+		p := New(options())
+		_, got := send(p, addr, `{}`)
+		if at < len(whole) {
+			want(t, got, decide.Reset)
+		} else if r := want(t, got, decide.OK); r.TrueUnits != 2 || r.Metered != 3 || r.Report["queue"] != 1 || string(r.Body) != "7" {
+			t.Errorf("%+v", r)
+		}
+		p.Close()
+		if len(got) != 0 {
+			t.Fatal("a call ended twice")
+		}
+	}
+}
+
+// TestCutBeforeRead breaks a connection that took calls: some are flushed, some still wait in the queue behind
+// a peer that reads nothing. Each is Reset if a byte may have left, NoConnection only if none did; what the
+// server got is no more than what is told as Reset.
+func TestCutBeforeRead(t *testing.T) {
+	var mu sync.Mutex
+	got := map[string]bool{}
+	cut := make(chan struct{})
+	addr := server(t, func(nc net.Conn, br *bufio.Reader) {
+		nc.(*net.TCPConn).SetReadBuffer(4 << 10)
+		<-cut
+		r := ws.NewReader(br, ws.Server, 1<<20)
+		nc.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		for {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			got[string(m.Data[strings.Index(string(m.Data), `"n":`):][:10])] = true
+			mu.Unlock()
+		}
+	})
+	o := options()
+	o.Conns = 1
+	o.Link.Queue = 64 << 20
+	p := New(o)
+	defer p.Close()
+	pad := strings.Repeat("x", 20_000)
+	var outs []chan Result
+	for i := range 600 {
+		_, ch := send(p, addr, fmt.Sprintf(`{"n":%06d,"pad":"%s"}`, i, pad))
+		outs = append(outs, ch)
+		if i == 0 {
+			for p.connected(addr) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	close(cut)
+	count := map[decide.Outcome]int{}
+	for i, ch := range outs {
+		r := <-ch
+		count[r.Outcome]++
+		mu.Lock()
+		arrived := got[fmt.Sprintf(`"n":%06d`, i)]
+		mu.Unlock()
+		if arrived && r.Outcome != decide.Reset {
+			t.Fatalf("call %d arrived and is told as outcome %d", i, r.Outcome)
+		}
+	}
+	if count[decide.Reset] == 0 || count[decide.NoConnection] == 0 || len(count) != 2 {
+		t.Errorf("outcomes %v, want some of each", count)
+	}
+}
+
+func (p *Pool) connected(addr string) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d := p.nodes[addr]; d != nil {
+		for _, k := range d.conns {
+			if k.link != nil {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestNoConnection asks where nothing listens, where nobody does the handshake, and where it is refused.
+func TestNoConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := ln.Addr().String() // takes connections in its backlog and says nothing
+	defer ln.Close()
+	gone, _ := net.Listen("tcp", "127.0.0.1:0")
+	gone.Close()
+	rude, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer rude.Close()
+	go func() {
+		for {
+			nc, err := rude.Accept()
+			if err != nil {
+				return
+			}
+			nc.Write((&ws.Refusal{Status: 503, Reason: "no"}).Response())
+			nc.Close()
+		}
+	}()
+	o := options()
+	o.ConnectTimeout = 100 * time.Millisecond
+	p := New(o)
+	defer p.Close()
+	for _, addr := range []string{silent, gone.Addr().String(), rude.Addr().String()} {
+		for range 3 {
+			_, got := send(p, addr, `{}`)
+			want(t, got, decide.NoConnection)
+		}
+	}
+	for p.Conns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAbandon gives calls up before they leave and after; a late answer finds nobody and is counted.
+func TestAbandon(t *testing.T) {
+	first := make(chan struct{})
+	addr := server(t, func(nc net.Conn, br *bufio.Reader) {
+		r := ws.NewReader(br, ws.Server, 1<<20)
+		if _, err := r.Next(); err != nil {
+			return
+		}
+		close(first)
+		for {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			if strings.Contains(string(m.Data), `"cancel"`) {
+				nc.Write(answerTo(1))
+			}
+		}
+	})
+	p := New(options())
+	defer p.Close()
+	c, got := send(p, addr, `{}`)
+	<-first
+	if g := p.Abandon(c); g != MayRun {
+		t.Errorf("a sent call is given up as %d", g)
+	}
+	for p.Late() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ln, _ := net.Listen("tcp", "127.0.0.1:0")
+	defer ln.Close()
+	c2, got2 := send(p, ln.Addr().String(), `{}`)
+	if g := p.Abandon(c2); g != NeverLeft {
+		t.Errorf("a call that waits for its connection is given up as %d", g)
+	}
+	if g := p.Abandon(c2); g != Ended {
+		t.Errorf("a second time it is %d", g)
+	}
+	if len(got)+len(got2) > 0 {
+		t.Error("a call that was given up has an outcome")
+	}
+}
+
+// TestNode runs calls through an emulated node: many at once on few connections, full, failing, closed when idle.
+func TestNode(t *testing.T) {
+	n, err := emulated.Start(emulated.Options{Addr: "127.0.0.1:0", Cores: 4, Speed: 1, Queue: 1000,
+		Classes: map[string]emulated.Class{"m": {Work: 100 * time.Microsecond}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Stop()
+	o := options()
+	o.Calls, o.Conns, o.Idle = 10, 3, 20*time.Millisecond
+	p := New(o)
+	defer p.Close()
+	var outs []chan Result
+	for i := range 500 {
+		_, ch := send(p, n.Addr(), fmt.Sprintf(`{"request":"r%d","units":2}`, i))
+		outs = append(outs, ch)
+	}
+	for _, ch := range outs {
+		if r := want(t, ch, decide.OK); r.TrueUnits != 2 {
+			t.Fatalf("%+v", r)
+		}
+	}
+	n.Set(func(x *emulated.Trouble) { x.Errors = 1 })
+	_, ch := send(p, n.Addr(), `{"request":"e"}`)
+	want(t, ch, decide.Error)
+	for p.Conns() > 0 {
+		time.Sleep(time.Millisecond) // idle ones are closed
+	}
+	n.Set(func(x *emulated.Trouble) { x.Errors, x.Silent = 0, true })
+	_, ch = send(p, n.Addr(), `{"request":"s"}`)
+	for p.connected(n.Addr()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.CloseIdle(n.Addr()) // it carries a call, so it stays
+	if p.Conns() != 1 {
+		t.Error("a connection with a call was closed as idle")
+	}
+	for len(n.Ran()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(5 * time.Millisecond)
+	n.Stop()
+	if r := <-ch; r.Outcome != decide.Reset && r.Outcome != decide.NoConnection {
+		t.Errorf("outcome %d", r.Outcome)
+	}
+}
