--- a/front/websocket/session.go
+++ b/front/websocket/session.go
@@ -71,7 +71,12 @@
 	}
 }
 
-func (c *session) send(data []byte) { c.link.Send(data) } // a failed one ends the reader
+// send writes an answer; nil, as to a notification, is none. A failed one ends the reader.
+func (c *session) send(data []byte) {
+	if data != nil {
+		c.link.Send(data)
+	}
+}
 
 func (c *session) message(data []byte) {
 	items, many, bad := jsonrpc.Parse(data, c.s.caps.Batch)
