--- a/audit/judge.go
+++ b/audit/judge.go
@@ -209,7 +209,7 @@
 			if most := j.f.Decide.Limits.MaxRetryAfter; a.For > most {
 				j.breach(1, a.T, "%s was told to come back after %v, %v at most", who, a.For, most)
 			}
-		case c.undone, ended && end.K == Leave:
+		case c.undone, ended && end.K == Leave && end.T < c.Deadline+slack+Transit:
 		case j.killed(c.Gateway, c.T, c.Deadline+slack):
 		case ended && end.T < c.Deadline && end.Code == 1001 && end.T-c.T < time.Second:
 			// It crossed the gateway's close frame: the gateway read nothing of it.
--- a/audit/record.go
+++ b/audit/record.go
@@ -71,8 +71,12 @@
 	recs  []Record
 	out   *bufio.Writer
 	err   error
+	none  bool // keeps nothing
 }
 
+// Discard is a log that keeps nothing.
+func Discard() *Log { return &Log{began: time.Now(), none: true} }
+
 // NewLog begins a day. out may be nil.
 func NewLog(out io.Writer) *Log {
 	l := &Log{began: time.Now()}
@@ -87,6 +91,9 @@
 
 // Add stamps a record, unless it has a time, and keeps it.
 func (l *Log) Add(r Record) {
+	if l.none {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.T == 0 {
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,186 @@
+// Command standin runs the stand-ins by themselves: emulated nodes, a list of them and a school that orders,
+// each in a terminal of its own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"winghatch/config"
+	"winghatch/nodelist"
+	"winghatch/standin/list"
+	"winghatch/standin/node"
+	"winghatch/standin/school"
+)
+
+type command struct {
+	Node   nodeCmd   `cmd:"" help:"Run an emulated node."`
+	List   listCmd   `cmd:"" help:"Run a list of nodes; lines on standard input change it: NODE serving|draining|gone."`
+	School schoolCmd `cmd:"" help:"Order from a fleet's gateways and print an account each second."`
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Name("standin"), kong.UsageOnError(), kong.Description("Emulated nodes, list and clients.\n\n"+
+		"  standin node --listen 127.0.0.1:7401 --config examples/fleet.kdl\n"+
+		"  standin list --listen 127.0.0.1:7000 127.0.0.1:7401 127.0.0.1:7402\n"+
+		"  standin school --config examples/fleet.kdl --key escuela=KEY --rate 50"))
+	k.FatalIfErrorf(k.Run())
+}
+
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+type nodeCmd struct {
+	Listen string             `required:"" help:"host:port on loopback."`
+	Config string             `required:"" help:"The fleet's settings; the node does its classes."`
+	Work   time.Duration      `default:"50ms" help:"Mean work of a call."`
+	Cores  int                `default:"2"`
+	Speed  float64            `default:"1" help:"Of a core."`
+	Queue  int                `default:"64" help:"Calls that may wait; more are turned away."`
+	Zone   string             `help:"Where it stands."`
+	Slow   float64            `default:"1" help:"Times slower than it should be."`
+	Errors float64            `help:"Share of calls that fail quickly."`
+	Mute   []string           `help:"Classes that are run but never answered."`
+	Tail   map[string]float64 `help:"CLASS=FACTOR: one of 50 calls of the class costs so many times the usual."`
+}
+
+func (c *nodeCmd) Run() error {
+	f, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	o := node.Options{Addr: c.Listen, Zone: c.Zone, Cores: c.Cores, Speed: c.Speed, Queue: c.Queue, Classes: map[string]node.Class{},
+		Seed: uint64(time.Now().UnixNano())}
+	for _, k := range f.Decide.Classes {
+		o.Classes[k.Name] = node.Class{Work: c.Work, Keyed: k.Window > 0, Window: k.Window}
+	}
+	n, err := node.Start(o)
+	if err != nil {
+		return err
+	}
+	n.Set(func(t *node.Trouble) {
+		t.Slow, t.Errors, t.Tail, t.TailShare, t.Mute = c.Slow, c.Errors, c.Tail, 0.02, map[string]bool{}
+		for _, m := range c.Mute {
+			t.Mute[m] = true
+		}
+	})
+	fmt.Println("node listens on", n.Addr())
+	ctx, stop := interrupted()
+	defer stop()
+	<-ctx.Done()
+	n.Stop()
+	return nil
+}
+
+type listCmd struct {
+	Listen string        `required:"" help:"host:port on loopback."`
+	Lag    time.Duration `help:"Changes are told so much later."`
+	Nodes  []string      `arg:"" optional:"" help:"Nodes at the start, host:port or host:port@ZONE."`
+}
+
+func (c *listCmd) Run() error {
+	l, err := list.Start(c.Listen, c.Lag, nil)
+	if err != nil {
+		return err
+	}
+	parse := func(s, state string) nodelist.Entry {
+		addr, zone, _ := strings.Cut(s, "@")
+		return nodelist.Entry{Node: addr, Zone: zone, State: state}
+	}
+	var es []nodelist.Entry
+	for _, n := range c.Nodes {
+		es = append(es, parse(n, "serving"))
+	}
+	u := nodelist.Update{Nodes: es}
+	if err := u.Check(); err != nil {
+		return err
+	}
+	l.Fill(es)
+	fmt.Println("list listens on", l.Addr())
+	go func() {
+		for {
+			var n, state string
+			if _, err := fmt.Scanln(&n, &state); err != nil {
+				if n == "" && state == "" && err.Error() != "unexpected newline" {
+					return
+				}
+				continue
+			}
+			e := parse(n, state)
+			if state == "serving" {
+				e.Started = time.Now().UnixMilli()
+			}
+			one := nodelist.Update{Nodes: []nodelist.Entry{e}}
+			if err := one.Check(); err != nil {
+				fmt.Println(err)
+				continue
+			}
+			l.Set(e)
+		}
+	}()
+	ctx, stop := interrupted()
+	defer stop()
+	<-ctx.Done()
+	l.Stop()
+	return nil
+}
+
+type schoolCmd struct {
+	Config  string            `required:"" help:"The fleet's settings."`
+	Key     map[string]string `required:"" help:"MEMBER=KEY, for each member that orders."`
+	Rate    float64           `default:"20" help:"Orders a second."`
+	Retries int               `default:"2"`
+	Units   int               `default:"1" help:"Most units of an order."`
+	For     time.Duration     `help:"Stop after so long; 0 goes on."`
+}
+
+func (c *schoolCmd) Run() error {
+	f, err := config.Load(c.Config)
+	if err != nil {
+		return err
+	}
+	o := school.Options{Rate: c.Rate, Retries: c.Retries, Wait: 100 * time.Millisecond, Seed: uint64(time.Now().UnixNano())}
+	for _, g := range f.Gateways {
+		o.Gateways = append(o.Gateways, g.Listen)
+	}
+	for _, k := range f.Decide.Classes {
+		o.Classes = append(o.Classes, school.Class{Name: k.Name, Share: 1 / float64(len(f.Decide.Classes)), Effect: k.Effect,
+			Group: k.Group, Window: k.Window, Aim: k.Aim, Deadline: k.Deadline, MaxUnits: c.Units})
+	}
+	for _, m := range f.Members {
+		if key := c.Key[m.Name]; key != "" {
+			o.Members = append(o.Members, school.Member{Name: m.Name, Key: key, First: m.First, Spread: m.Spread})
+		}
+	}
+	if len(o.Members) != len(c.Key) {
+		return fmt.Errorf("--key: %d keys for %d members of the fleet, want members that the settings name", len(c.Key), len(o.Members))
+	}
+	ctx, stop := interrupted()
+	defer stop()
+	if c.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	s := school.New(o)
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Second)
+			st := s.Stats()
+			fmt.Printf("asked %d  served %d  refused %d %v  failed %d  lost %d  unreachable %d  p50 %dus  p99 %dus\n", st.Asked, st.Served,
+				st.Refused, st.Reasons, st.Failed, st.Lost, st.Unreachable, st.Latency.ValueAtQuantile(50), st.Latency.ValueAtQuantile(99))
+		}
+	}()
+	s.Run(ctx)
+	s.Close()
+	return nil
+}
--- a/cmd/winghatch/day.go
+++ b/cmd/winghatch/day.go
@@ -29,7 +29,7 @@
 func (c *dayCmd) Run() error { return playDay(c.File, c.Seed, c.Record) }
 
 type auditCmd struct {
-	Dir string `arg:"" type:"existingdir" help:"The folder that day --record filled."`
+	Dir string `arg:"" help:"The folder that day --record filled."`
 }
 
 func (c *auditCmd) Run() error {
--- a/cmd/winghatch/gateway.go
+++ b/cmd/winghatch/gateway.go
@@ -24,7 +24,7 @@
 )
 
 type gatewayCmd struct {
-	Config string `required:"" type:"existingfile" help:"The fleet's settings, KDL."`
+	Config string `required:"" help:"The fleet's settings, KDL."`
 	Rank   int    `required:"" help:"This gateway's number, from 0."`
 	Seed   int64  `help:"Of the core's random choices; 0 takes one from the time."`
 	Tape   string `help:"Record what the core is given and does in this file."`
@@ -73,7 +73,7 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" type:"existingfile" help:"The settings."`
+	File string `arg:"" help:"The settings."`
 }
 
 func (c *checkCmd) Run() error {
@@ -88,7 +88,7 @@
 }
 
 type replayCmd struct {
-	Tape string `arg:"" type:"existingfile" help:"A tape that a gateway recorded."`
+	Tape string `arg:"" help:"A tape that a gateway recorded."`
 }
 
 func (c *replayCmd) Run() error {
@@ -190,11 +190,11 @@
 }
 
 type keyNewCmd struct {
-	Config string `required:"" type:"existingfile" help:"The fleet's settings; the digest is made with their secret."`
+	Config string `required:"" help:"The fleet's settings; the digest is made with their secret."`
 }
 
 type keyDigestCmd struct {
-	Config string `required:"" type:"existingfile" help:"The fleet's settings."`
+	Config string `required:"" help:"The fleet's settings."`
 }
 
 type keySecretCmd struct{}
--- /dev/null
+++ b/day/day_test.go
@@ -0,0 +1,391 @@
+package day
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/front"
+	"winghatch/gateway"
+	"winghatch/tape"
+)
+
+// TestMain is also the gateway's program: a day starts this binary as its gateways, whole or broken.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "gateway" {
+		if err := runGateway(os.Args[2:], os.Getenv("BREAK")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	// Days mostly wait: six at once, whatever the machine has, keep two cores busy and the tests short.
+	flag.Parse()
+	flag.Set("test.parallel", "6")
+	os.Exit(m.Run())
+}
+
+// runGateway takes --config F --rank N --tape T.
+func runGateway(args []string, how string) error {
+	f, err := config.Load(args[1])
+	if err != nil {
+		return err
+	}
+	rank, _ := strconv.Atoi(args[3])
+	out, err := os.Create(args[5])
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	if how == "no ceiling" {
+		for i := range f.Decide.Plans {
+			p := &f.Decide.Plans[i]
+			p.Rate, p.Burst, p.CeilingRate, p.CeilingBurst = 1e6, 1e6, 0, 0
+		}
+	}
+	sigs := make(chan os.Signal, 1)
+	signal.Notify(sigs, syscall.SIGTERM)
+	g, err := gateway.Start(f, gateway.Options{Rank: rank, Tape: out, Tamper: breaks(how)})
+	if err != nil {
+		return err
+	}
+	<-sigs
+	g.Drain()
+	return nil
+}
+
+// breaks are gateways made to break a rule.
+func breaks(how string) (t gateway.Tamper) {
+	serverOf := map[string]bool{}
+	var listed []string
+	requests := map[string]decide.Request{}
+	note := func(ev decide.Event) {
+		switch e := ev.(type) {
+		case decide.FleetUpdate:
+			for _, s := range e.Servers {
+				if !serverOf[s.ID] {
+					serverOf[s.ID] = true
+					listed = append(listed, s.ID)
+				}
+			}
+		case decide.Request:
+			requests[e.ID] = e
+		}
+	}
+	other := func(not string) string {
+		for _, s := range listed {
+			if s != not {
+				return s
+			}
+		}
+		return not
+	}
+	each := func(f func(ev decide.Event, a decide.Action) []decide.Action) {
+		t.Actions = func(ev decide.Event, acts []decide.Action) (out []decide.Action) {
+			note(ev)
+			for _, a := range acts {
+				out = append(out, f(ev, a)...)
+			}
+			return out
+		}
+	}
+	n := 0
+	switch how {
+	case "no answer":
+		t.Final = func(f front.Final, done func(front.Final)) {
+			if n++; n%20 != 0 {
+				done(f)
+			}
+		}
+	case "two answers":
+		t.Final = func(f front.Final, done func(front.Final)) {
+			done(f)
+			if n++; n%20 == 0 {
+				done(f)
+			}
+		}
+	case "late answers":
+		t.Final = func(f front.Final, done func(front.Final)) {
+			if n++; n%20 == 0 {
+				time.AfterFunc(6*time.Second, func() { done(f) })
+				return
+			}
+			done(f)
+		}
+	case "long waits":
+		t.Final = func(f front.Final, done func(front.Final)) {
+			f.RetryAfter = time.Minute
+			done(f)
+		}
+	case "unsafe again": // an unsafe call that may have run is sent once more
+		each(func(ev decide.Event, a decide.Action) []decide.Action {
+			if f, ok := a.(decide.Fail); ok {
+				if e, ok := ev.(decide.AttemptEnded); ok {
+					return []decide.Action{decide.Send{ID: f.ID, Server: other(e.Server)}}
+				}
+			}
+			return []decide.Action{a}
+		})
+	case "two at once":
+		each(func(_ decide.Event, a decide.Action) []decide.Action {
+			if s, ok := a.(decide.Send); ok && requests[s.ID].Class == "order-lookup" {
+				return []decide.Action{a, decide.Send{ID: s.ID, Server: other(s.Server), Timeout: s.Timeout}}
+			}
+			return []decide.Action{a}
+		})
+	case "refuses what ran": // by a Refuse in place of a Fail
+		each(func(_ decide.Event, a decide.Action) []decide.Action {
+			if f, ok := a.(decide.Fail); ok {
+				return []decide.Action{decide.Refuse{ID: f.ID}}
+			}
+			return []decide.Action{a}
+		})
+	case "deaf to drains":
+		t.Event = func(ev decide.Event) decide.Event {
+			if e, ok := ev.(decide.FleetUpdate); ok && e.Kind == decide.FleetDelta {
+				return nil
+			}
+			return ev
+		}
+	case "sends to who drains":
+		var draining string
+		t.Event = func(ev decide.Event) decide.Event {
+			if e, ok := ev.(decide.FleetUpdate); ok {
+				for _, s := range e.Servers {
+					if s.State == decide.Draining {
+						draining = s.ID
+					}
+				}
+			}
+			return ev
+		}
+		each(func(_ decide.Event, a decide.Action) []decide.Action {
+			if s, ok := a.(decide.Send); ok && draining != "" {
+				if n++; n%5 == 0 {
+					s.Server = draining
+					return []decide.Action{s}
+				}
+			}
+			return []decide.Action{a}
+		})
+	case "all to the cold", "most to the cold":
+		cold, spared := "", map[string]int{"all to the cold": 0, "most to the cold": 3}[how]
+		t.Event = func(ev decide.Event) decide.Event {
+			if e, ok := ev.(decide.FleetUpdate); ok {
+				for _, s := range e.Servers {
+					if s.Started > 0 {
+						cold = s.ID
+					}
+				}
+			}
+			return ev
+		}
+		each(func(_ decide.Event, a decide.Action) []decide.Action {
+			if s, ok := a.(decide.Send); ok && cold != "" {
+				if n++; spared == 0 || n%spared != 0 {
+					s.Server = cold
+					return []decide.Action{s}
+				}
+			}
+			return []decide.Action{a}
+		})
+	case "over the mark": // whom the core refuses is sent on all the same
+		each(func(_ decide.Event, a decide.Action) []decide.Action {
+			if r, ok := a.(decide.Refuse); ok && (r.Reason == decide.OverMark || r.Reason == decide.OverTop) {
+				return []decide.Action{decide.Send{ID: r.ID, Server: other("")}}
+			}
+			return []decide.Action{a}
+		})
+	}
+	return t
+}
+
+func play(t *testing.T, s *Script, how string) *Outcome {
+	t.Helper()
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	res, err := Play(context.Background(), s, Options{Dir: dir,
+		Command: func(args ...string) *exec.Cmd { return exec.Command(exe, args...) },
+		Break:   func(int) []string { return []string{"BREAK=" + how} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := Audit(dir)
+	if err != nil || again.String() != res.Verdict.String() {
+		t.Errorf("judged again: %v\n%s\n%s", err, again, res.Verdict)
+	}
+	if how == "" {
+		for _, file := range res.Tapes {
+			in, err := os.Open(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n, err := tape.Replay(in); err != nil || n.Events == 0 {
+				t.Errorf("%s: %+v, %v", filepath.Base(file), n, err)
+			}
+			in.Close()
+		}
+	}
+	return res
+}
+
+// short is the drain day's fleet on a day of its own.
+func short(t *testing.T, length, rest string) *Script {
+	t.Helper()
+	s, err := Parse("test", []byte("day test { like drain; length \""+length+"\"; "+rest+" }"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// lowCeiling is a day on which every member asks three times what its ceiling bears.
+func lowCeiling(t *testing.T) *Script {
+	t.Helper()
+	src, err := files.ReadFile("files/drain.kdl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(src)
+	for _, r := range [][2]string{{"plan=semilla", "plan=imprenta"}, {`rate "90/s"; burst 180`, `rate "10/s"; burst 20`},
+		{`ceiling-rate "180/s"; ceiling-burst 300; ceiling-slack 30`, `ceiling-rate "12/s"; ceiling-burst 30; ceiling-slack 8`},
+		{`length "18s"`, `length "4s"`}, {"trouble drain", "/-trouble drain"}, {"trouble class_fail", "/-trouble class_fail"}} {
+		if !strings.Contains(text, r[0]) {
+			t.Fatalf("%q does not stand in the drain day", r[0])
+		}
+		text = strings.ReplaceAll(text, r[0], r[1])
+	}
+	s, err := Parse("low", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestDays plays days with whole gateways: all rules are kept, and every tape replays to the same actions.
+func TestDays(t *testing.T) {
+	for name, s := range map[string]*Script{
+		"ceilings": lowCeiling(t),
+		"quiet":    short(t, "2s", ""),
+		"drain and mute": short(t, "4s", `list-lag "50ms"; trouble class_fail at="300ms" for="3s" class=folio-assign
+			trouble drain at="1s" for="1s"`),
+		"killed":  short(t, "4s", `trouble balancer_crash at="1s" for="700ms"; trouble reconnect at="2s"`),
+		"stopped": short(t, "5s", `trouble balancer_stall at="1s" for="2s"`),
+		"rolled":  short(t, "4s", `trouble balancer_roll at="500ms" for="2s"; trouble cut at="1s" count=3`),
+		"flooded": short(t, "4s", `trouble tenant_burst at="500ms" for="2s" count=1 size=12; trouble lost_peers at="1s" for="2s" size=0.7`),
+		"vanish": short(t, "4s", `list-lag "50ms"; trouble vanish at="500ms" for="1s" count=1; trouble list_bad at="1s"
+			trouble fast_errors at="1s" for="2s" size=0.9; trouble list_stale at="2s" for="500ms"`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			res := play(t, s, "")
+			if res.Verdict.Kept() != 5 {
+				t.Errorf("\n%s", res.Verdict)
+			}
+			if st := res.Stats; st.Served < st.Asked/5 || st.Asked < 50 {
+				t.Errorf("served %d of %d", st.Served, st.Asked)
+			}
+		})
+	}
+}
+
+// TestPlantedBreaches plays days with gateways made to break a rule: the judge finds it, and no day is accused
+// by another rule than it breaks.
+func TestPlantedBreaches(t *testing.T) {
+	mute := `trouble class_fail at="300ms" for="3s" count=3 class=folio-assign`
+	drain := `list-lag "20ms"; trouble drain at="500ms" for="4s" count=1`
+	cold := `list-lag "20ms"; trouble cold_start at="500ms" count=1`
+	low := lowCeiling(t)
+	rush := `trouble tenant_burst at="200ms" for="4s" count=6 size=6`
+	for how, c := range map[string]struct {
+		rule int
+		s    *Script
+		also []int
+	}{
+		"no answer":           {1, short(t, "2s", ""), nil},
+		"two answers":         {1, short(t, "2s", ""), nil},
+		"late answers":        {1, short(t, "2s", ""), nil},
+		"long waits":          {1, short(t, "2s", rush), nil},
+		"unsafe again":        {2, short(t, "4s", mute), []int{1}},
+		"two at once":         {2, short(t, "2s", ""), nil},
+		"refuses what ran":    {2, short(t, "4s", mute), nil},
+		"deaf to drains":      {3, short(t, "4s", drain), nil},
+		"sends to who drains": {3, short(t, "4s", drain), nil},
+		"all to the cold":     {4, short(t, "4s", cold), []int{1}},
+		"most to the cold":    {4, short(t, "4s", cold+`; trouble burst at="400ms" for="3s" size=3`), []int{1}},
+		"no ceiling":          {5, low, nil},
+		"over the mark":       {5, low, []int{1}},
+	} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			res := play(t, c.s, how)
+			broken := map[int]int{}
+			for _, b := range res.Verdict.Breaches {
+				broken[b.Rule]++
+			}
+			if broken[c.rule] == 0 {
+				t.Errorf("rule %d was broken and the judge found\n%s", c.rule, res.Verdict)
+			}
+			delete(broken, c.rule)
+			for _, rule := range c.also {
+				delete(broken, rule)
+			}
+			if len(broken) > 0 {
+				t.Errorf("also accused:\n%s", res.Verdict)
+			}
+		})
+	}
+}
+
+// TestBuiltIn reads every built-in day, and wants one for each sort of trouble.
+func TestBuiltIn(t *testing.T) {
+	played := map[string]bool{}
+	for _, name := range Names() {
+		s, err := Open(name)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		for _, x := range s.Troubles {
+			played[x.Kind] = true
+		}
+	}
+	for kind := range Kinds {
+		if !played[kind] {
+			t.Errorf("no built-in day plays %s", kind)
+		}
+	}
+}
+
+func TestBadScripts(t *testing.T) {
+	for in, want := range map[string]string{
+		``:                                 `want one node named "day"`,
+		`day x {}`:                         "want a fleet, nodes and a load",
+		`day x { like nothing }`:           `"nothing", want another of the built-in days`,
+		`day x { like drain; length "x" }`: "want a duration",
+		`day x { like drain; trouble rain at="1s" }`:                     "want one of",
+		`day x { like drain; trouble slow }`:                             "trouble slow.at: missing",
+		`day x { like drain; trouble slow at="1s" count=0 }`:             "want a whole number",
+		`day x { like drain; trouble class_fail at="1s" }`:               "class: missing",
+		`day x { like drain; trouble class_fail at="1s" class=nothing }`: "want a class of the fleet",
+		`day x { like drain; load rate="1/s" }`:                          "of its own",
+	} {
+		if _, err := Parse("f", []byte(in)); err == nil || !strings.Contains(err.Error(), want) || !strings.HasPrefix(err.Error(), "f:1:") {
+			t.Errorf("%s: %v, want %q", in, err, want)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	Tape io.Writer // nil: nothing is recorded
 	Log  *slog.Logger
 
+	Core   Core // nil: the module's
 	Tamper Tamper
 }
 
@@ -124,9 +125,12 @@
 		}
 		closers = append(closers, sl)
 	}
-	if g.loop, err = NewLoop(cfg, o.Seed, g.clock.Now, g.pool, peers, tp, g.log); err != nil {
-		return nil, err
+	if o.Core == nil {
+		if o.Core, err = decide.New(cfg, o.Seed); err != nil {
+			return nil, err
+		}
 	}
+	g.loop = NewLoop(cfg, o.Core, g.clock.Now, g.pool, peers, tp, g.log)
 	g.loop.limit, g.loop.tamper = int64(f.Caps.Open), o.Tamper
 	ok = true
 	g.run(ln, sl)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -64,6 +64,12 @@
 	call *upstream.Call
 }
 
+// Core decides; *decide.Gateway does. Measurements put one that decides nothing in its place.
+type Core interface {
+	Handle(now time.Duration, ev decide.Event) []decide.Action
+	View() decide.View
+}
+
 // Tamper breaks a gateway on purpose, to try the judge of the rules; nothing else sets it.
 type Tamper struct {
 	Event   func(decide.Event) decide.Event // nil: the core is not told
@@ -86,7 +92,7 @@
 type Loop struct {
 	Counters
 	cfg     decide.Config
-	core    *decide.Gateway
+	core    Core
 	clock   func() time.Duration
 	nodes   Nodes
 	peers   Peers
@@ -108,19 +114,15 @@
 }
 
 // NewLoop returns a loop that Run starts. tape may be nil.
-func NewLoop(cfg decide.Config, seed int64, clock func() time.Duration, nodes Nodes, peers Peers, tp *tape.Writer,
-	log *slog.Logger) (*Loop, error) {
-	core, err := decide.New(cfg, seed)
-	if err != nil {
-		return nil, err
-	}
+func NewLoop(cfg decide.Config, core Core, clock func() time.Duration, nodes Nodes, peers Peers, tp *tape.Writer,
+	log *slog.Logger) *Loop {
 	l := &Loop{cfg: cfg, core: core, clock: clock, nodes: nodes, peers: peers, tape: tp, log: log, q: newQueue(),
 		opens: map[string]*open{}, reasons: map[string]int64{}, ends: map[string]int64{}, settle: cfg.SettledLater,
 		done: make(chan struct{}), quit: make(chan struct{}), classes: map[string]*decide.Class{}}
 	for i := range cfg.Classes {
 		l.classes[cfg.Classes[i].Name] = &cfg.Classes[i]
 	}
-	return l, nil
+	return l
 }
 
 // Enter counts a call in, or reports that the cap on open calls is reached. That also bounds the queue.
--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	if log == nil {
-		log = audit.NewLog(nil)
+		log = audit.Discard()
 	}
 	l := &List{ln: ln, log: log, lag: lag, all: map[string]nodelist.Entry{}, ever: map[string]bool{}, subs: map[*link.Conn]int{},
 		nets: map[net.Conn]bool{}}
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -146,7 +146,7 @@
 		o.Memory = NewMemory()
 	}
 	if o.Log == nil {
-		o.Log = audit.NewLog(nil)
+		o.Log = audit.Discard()
 	}
 	n := &Node{o: o, ln: ln, addr: ln.Addr().String(), rng: rand.New(rand.NewPCG(o.Seed, 1)), started: time.Now(),
 		conns: map[net.Conn]*conn{}, ran: map[string]int{}, rateAt: time.Now()}
--- a/standin/school/school.go
+++ b/standin/school/school.go
@@ -85,7 +85,7 @@
 // New returns a school that Run starts.
 func New(o Options) *School {
 	if o.Log == nil {
-		o.Log = audit.NewLog(nil)
+		o.Log = audit.Discard()
 	}
 	ctx, shut := context.WithCancel(context.Background())
 	return &School{o: o, rng: rand.New(rand.NewPCG(o.Seed, 2)), sess: map[string]*session{}, ctx: ctx, shut: shut,
