--- a/bench/child.go
+++ b/bench/child.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"runtime/pprof"
 	"strconv"
 	"strings"
@@ -36,6 +37,9 @@
 		fatal(err)
 	}
 	addr := f.Gateways[0].Listen
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(400) // as `winghatch gateway` does; the relay too
+	}
 	switch name {
 	case "gateway", "plain":
 		o := gateway.Options{Seed: 1, Log: slog.New(slog.DiscardHandler)}
@@ -75,6 +79,9 @@
 			runtime.GC()
 		} else if asked > 0 {
 			pprof.StopCPUProfile()
+			if os.Getenv("KEEP_PROFILE") != "" {
+				os.WriteFile(os.Getenv("KEEP_PROFILE")+name, p.Bytes(), 0o600)
+			}
 			u.Share = share(&p)
 		}
 		var m runtime.MemStats
--- a/cmd/winghatch/day.go
+++ b/cmd/winghatch/day.go
@@ -28,6 +28,63 @@
 
 func (c *dayCmd) Run() error { return playDay(c.File, c.Seed, c.Record) }
 
+type daysCmd struct {
+	Names []string `arg:"" optional:"" help:"Files or built-in days; without any, all that are built in."`
+	Seed  int      `help:"Of the days; 0 takes their own."`
+}
+
+func (c *daysCmd) Run() error {
+	if len(c.Names) == 0 {
+		c.Names = day.Names()
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	fmt.Println("| day | orders | in time | refused | failed | lost | unreachable | attempts | p50 | p99 | rules kept |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	code := 0
+	for _, name := range c.Names {
+		res, err := playOne(ctx, exe, name, c.Seed)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+			code = 2
+			continue
+		}
+		st := res.Stats
+		part := func(n int64) string { return fmt.Sprintf("%.1f%%", 100*float64(n)/max(1, float64(st.Asked))) }
+		at := func(q float64) time.Duration {
+			return (time.Duration(st.Latency.ValueAtQuantile(q)) * time.Microsecond).Round(time.Millisecond)
+		}
+		fmt.Printf("| %s | %d | %s | %s | %s | %s | %s | %d | %v | %v | %d of 5 |\n", name, st.Asked, part(st.InAim), part(st.Refused),
+			part(st.Failed), part(st.Lost), part(st.Unreachable), res.Attempts, at(50), at(99), res.Verdict.Kept())
+		if res.Verdict.Kept() < 5 {
+			fmt.Fprint(os.Stderr, res.Verdict)
+			code = max(code, 1)
+		}
+	}
+	if code != 0 {
+		return exit(code)
+	}
+	return nil
+}
+
+func playOne(ctx context.Context, exe, name string, seed int) (*day.Outcome, error) {
+	s, err := day.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "winghatch-day-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	return day.Play(ctx, s, day.Options{Seed: seed, Dir: dir,
+		Command: func(args ...string) *exec.Cmd { return exec.Command(exe, args...) }})
+}
+
 type auditCmd struct {
 	Dir string `arg:"" help:"The folder that day --record filled."`
 }
--- a/cmd/winghatch/gateway.go
+++ b/cmd/winghatch/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sort"
 	"strings"
 	"syscall"
@@ -55,6 +56,11 @@
 		defer out.Close()
 		o.Tape = out
 	}
+	if os.Getenv("GOGC") == "" {
+		// Little lives long and much is made for each call: at the default the collector runs twenty times a
+		// second under load. The heap stays small all the same, see docs/measurements.md.
+		debug.SetGCPercent(400)
+	}
 	sigs := make(chan os.Signal, 2)
 	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT)
 	g, err := gateway.Start(f, o)
@@ -177,6 +183,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\n", name, v.Plan, v.Level, v.Mark, v.Part, v.Whole, v.Store, v.Open)
 	}
+	if len(s.Core.Silent) > 0 {
+		fmt.Fprintf(w, "\nhomes that are not asked for now\t%v\n", s.Core.Silent)
+	}
 	fmt.Fprintln(w, "\npeer\tknown\theard ago\tto tell")
 	for _, v := range s.Core.Peers {
 		fmt.Fprintf(w, "%d\t%t\t%v\t%d\n", v.Rank, v.Known, v.Heard.Round(time.Millisecond), v.Queue)
--- a/cmd/winghatch/main.go
+++ b/cmd/winghatch/main.go
@@ -17,6 +17,7 @@
 	State   stateCmd   `cmd:"" help:"Ask a running gateway its state."`
 	Demo    demoCmd    `cmd:"" help:"Play the drain day on loopback: 3 gateways, 6 nodes, a list and a school, in about 20 s."`
 	Day     dayCmd     `cmd:"" help:"Play a day file against real processes and judge it."`
+	Days    daysCmd    `cmd:"" help:"Play many days one after the other and print a table."`
 	Audit   auditCmd   `cmd:"" help:"Judge again what a day left in a folder."`
 	Key     keyCmd     `cmd:"" help:"Make keys of members and secrets of fleets."`
 }
--- a/front/websocket/server.go
+++ b/front/websocket/server.go
@@ -129,17 +129,15 @@
 	}
 }
 
+// session does the handshake and goes on in a goroutine of its own: what the handshake grew its stack to is not
+// kept for as long as an idle session lasts.
+
 func (s *Server) session(nc net.Conn) {
-	defer s.wg.Done()
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, nc)
-		s.mu.Unlock()
-	}()
 	br := bufio.NewReaderSize(nc, 1<<10)
 	c := s.open(nc, br)
 	if c == nil {
 		nc.Close()
+		s.gone(nc)
 		return
 	}
 	s.mu.Lock()
@@ -148,7 +146,17 @@
 	if s.draining.Load() {
 		c.link.Close(ws.CodeGoingAway, "this gateway stops")
 	}
-	c.run()
+	go func() {
+		c.run()
+		s.gone(nc)
+	}()
+}
+
+func (s *Server) gone(nc net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, nc)
+	s.mu.Unlock()
+	s.wg.Done()
 }
 
 // open does the handshake. Until it is done the peer costs a goroutine and a small buffer, for a bounded time.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -62,6 +62,10 @@
 	at   time.Duration
 	over bool
 	call *upstream.Call
+
+	due   time.Duration // its time-out; see timers
+	no    uint64
+	index int
 }
 
 // Core decides; *decide.Gateway does. Measurements put one that decides nothing in its place.
@@ -181,11 +185,11 @@
 			l.input(in)
 		}
 		for {
-			t, ok := l.timers.due(l.now)
+			token, t, ok := l.timers.due(l.now)
 			if !ok {
 				break
 			}
-			l.fire(t)
+			l.fire(token, t)
 		}
 		if l.tape != nil && l.q.len() == 0 {
 			l.flushTape()
@@ -240,13 +244,13 @@
 	}
 }
 
-func (l *Loop) fire(t timer) {
-	if t.try == nil {
-		l.handle(decide.TimerFired{Token: t.token})
+func (l *Loop) fire(token uint64, t *try) {
+	if t == nil {
+		l.handle(decide.TimerFired{Token: token})
 		return
 	}
-	if res, ok := l.abandon(t.try, decide.TimedOut); ok {
-		l.ended(t.try, res)
+	if res, ok := l.abandon(t, decide.TimedOut); ok {
+		l.ended(t, res)
 	}
 }
 
@@ -276,9 +280,12 @@
 		return
 	}
 	t.over = true
+	l.timers.withdraw(t)
 	o := t.o
 	o.out--
 	l.ends[outcomeNames[res.Outcome]]++
+	l.log.Debug("attempt", "request", o.ID, "attempt", t.n, "member", o.Member, "server", t.node,
+		"outcome", outcomeNames[res.Outcome], "took", l.now-t.at)
 	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
 		Metered: res.Metered, Report: res.Report, Done: o.finished}
 	if res.Outcome == decide.OK && !o.finished {
@@ -363,7 +370,7 @@
 			l.forget(o)
 		}
 	case decide.SetTimer:
-		l.timers.set(timer{at: a.At, token: a.Token})
+		l.timers.set(a.At, a.Token)
 	case decide.CloseIdle:
 		l.nodes.CloseIdle(a.Server)
 	case decide.Tell:
@@ -397,7 +404,7 @@
 	l.Tries.Add(1)
 	t.call = &upstream.Call{Node: a.Server, Method: o.Class, Params: o.params(t.n, left),
 		Done: func(r upstream.Result) { l.q.post(inEnd{t, r}) }}
-	l.timers.set(timer{at: l.now + left, try: t})
+	l.timers.timeOut(t, l.now+left)
 	l.nodes.Send(t.call)
 }
 
--- /dev/null
+++ b/gateway/timers_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestTimers sets, withdraws and takes timers in any order: each is due once, in the order of time and setting,
+// and a withdrawn one never.
+func TestTimers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type set struct {
+			at    time.Duration
+			no    int
+			token uint64
+			x     *try
+		}
+		var tm timers
+		var want []set
+		now := time.Duration(0)
+		for no := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				s := set{at: now + time.Duration(rapid.IntRange(0, 5).Draw(t, "at")), no: no, token: uint64(no + 1)}
+				tm.set(s.at, s.token)
+				want = append(want, s)
+			case 1:
+				s := set{at: now + time.Duration(rapid.IntRange(0, 5).Draw(t, "at")), no: no, x: &try{}}
+				tm.timeOut(s.x, s.at)
+				want = append(want, s)
+			case 2:
+				for i, s := range want {
+					if s.x != nil && rapid.Bool().Draw(t, "this one") {
+						tm.withdraw(s.x)
+						tm.withdraw(s.x)
+						want = slices.Delete(want, i, i+1)
+						break
+					}
+				}
+			case 3:
+				now += time.Duration(rapid.IntRange(0, 4).Draw(t, "pass"))
+				slices.SortFunc(want, func(a, b set) int {
+					if a.at != b.at {
+						return int(a.at - b.at)
+					}
+					return a.no - b.no
+				})
+				for len(want) > 0 && want[0].at <= now {
+					token, x, ok := tm.due(now)
+					if !ok || token != want[0].token || x != want[0].x {
+						t.Fatalf("due at %v: %v %v %v, want %+v", now, token, x, ok, want[0])
+					}
+					want = want[1:]
+				}
+				if _, _, ok := tm.due(now); ok {
+					t.Fatal("one more is due")
+				}
+			}
+		}
+		if len(tm.core)+len(tm.tries) != len(want) {
+			t.Fatalf("%d and %d are set, want %d", len(tm.core), len(tm.tries), len(want))
+		}
+	})
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,129 @@
+package link
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"winghatch/ws"
+)
+
+// ends are both ends of a connection over a real socket.
+func ends(t *testing.T, o Options) (client, server *Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return New(a, bufio.NewReader(a), ws.Client, o), New(b, bufio.NewReader(b), ws.Server, o)
+}
+
+func TestOrder(t *testing.T) {
+	c, s := ends(t, Options{})
+	const n = 5000
+	go func() {
+		for i := range n {
+			c.Send([]byte{byte('a' + i%26)})
+			if i%1000 == 0 {
+				c.Ping()
+			}
+		}
+		c.Close(ws.CodeNormal, "done")
+	}()
+	for i := range n {
+		m, err := s.Read()
+		if err != nil || m[0] != byte('a'+i%26) {
+			t.Fatalf("message %d: %q %v", i, m, err)
+		}
+	}
+	var pc *PeerClosed
+	if _, err := s.Read(); !errors.As(err, &pc) || pc.Code != ws.CodeNormal || pc.Reason != "done" {
+		t.Fatalf("%v", err)
+	}
+	// The close handshake is done whole: the closing side reads the answer to its close frame.
+	if _, err := c.Read(); !errors.As(err, &pc) || pc.Code != ws.CodeNormal {
+		t.Errorf("%v", err)
+	}
+	if c.Send([]byte("x")) != ErrClosed || s.Send([]byte("x")) != ErrClosed {
+		t.Error("a closed connection takes messages")
+	}
+}
+
+// TestNotBegun leaves out a message that is no longer wanted when its turn comes.
+func TestNotBegun(t *testing.T) {
+	c, s := ends(t, Options{})
+	var asked atomic.Int32
+	c.SendIf([]byte("no"), func() bool { asked.Add(1); return false })
+	c.SendIf([]byte("yes"), func() bool { asked.Add(1); return true })
+	if m, err := s.Read(); err != nil || string(m) != "yes" || asked.Load() != 2 {
+		t.Errorf("%q %v", m, err)
+	}
+}
+
+// TestSlowPeer writes to a peer that reads nothing: the queue's bound or the time to write ends it.
+func TestSlowPeer(t *testing.T) {
+	for _, o := range []Options{{Queue: 64 << 10, WriteWait: time.Minute}, {Queue: 1 << 30, WriteWait: 50 * time.Millisecond}} {
+		c, _ := ends(t, o)
+		data := []byte(strings.Repeat("x", 16<<10))
+		var err error
+		for range 100_000 {
+			if err = c.Send(data); err != nil {
+				break
+			}
+			if o.Queue > 1<<20 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		if err == nil {
+			t.Fatal("a peer that takes nothing was never cut off")
+		}
+		if _, err := c.Read(); err == nil {
+			t.Error("a cut connection still reads")
+		}
+	}
+}
+
+// TestSilentClose closes towards a peer that does not answer: the reader ends all the same.
+func TestSilentClose(t *testing.T) {
+	c, _ := ends(t, Options{CloseWait: 50 * time.Millisecond})
+	c.Close(ws.CodeNormal, "")
+	if _, err := c.Read(); err == nil {
+		t.Error("no end")
+	}
+}
+
+func TestRefusedMessages(t *testing.T) {
+	for code, raw := range map[int][]byte{
+		ws.CodeUnsupported: ws.AppendFrame(nil, true, ws.Binary, []byte("x"), &[4]byte{1}),
+		ws.CodeProtocol:    ws.AppendFrame(nil, true, ws.Text, []byte("x"), nil),
+		ws.CodeTooBig:      ws.AppendFrame(nil, true, ws.Text, make([]byte, 200), &[4]byte{1}),
+	} {
+		c, s := ends(t, Options{Message: 100})
+		c.nc.Write(raw)
+		if _, err := s.Read(); ws.CloseCode(err) != code {
+			t.Errorf("%v, want close code %d", err, code)
+		}
+		var pc *PeerClosed
+		if _, err := c.Read(); !errors.As(err, &pc) || pc.Code != code {
+			t.Errorf("the peer was told %v, want %d", err, code)
+		}
+		if _, err := c.r.Next(); err != io.EOF {
+			t.Errorf("%v", err)
+		}
+	}
+}
--- a/standin/school/school.go
+++ b/standin/school/school.go
@@ -243,8 +243,12 @@
 		if !s.again(o, last, time.Since(began)) {
 			break
 		}
+		wait := max(last.wait, s.o.Wait)
+		if wait >= o.class.Deadline-time.Since(began) {
+			break // by then its time is up
+		}
 		select {
-		case <-time.After(max(last.wait, s.o.Wait)):
+		case <-time.After(wait):
 		case <-s.ctx.Done():
 		}
 		o.rank = (o.member.First + (o.rank-o.member.First+len(s.o.Gateways)+1)%len(s.o.Gateways)%o.member.Spread) % len(s.o.Gateways)
