--- a/front/websocket/session.go
+++ b/front/websocket/session.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -97,28 +98,72 @@
 
 // params is what a client says of a call.
 type params struct {
-	Units    *float64        `json:"units"`
-	Deadline *float64        `json:"deadline_ms"` // the time left
-	At       *float64        `json:"at_ms"`       // by the client's own clock, of any origin
-	Key      string          `json:"key"`
-	Again    bool            `json:"again"`
-	Write    bool            `json:"write"`
-	Work     json.RawMessage `json:"work"`
+	Units    *float64
+	Deadline *float64 // the time left, ms
+	At       *float64 // by the client's own clock, of any origin, ms
+	Key      string
+	Again    bool
+	Write    bool
+	Work     json.RawMessage
+}
+
+func (p *params) read(raw json.RawMessage) error {
+	if len(raw) > 0 && raw[0] != '{' {
+		return errors.New("params: an array, want an object")
+	}
+	return jsonrpc.Members(raw, func(name string, v json.RawMessage) error {
+		var to any
+		switch name {
+		case "units":
+			return number(&p.Units, name, v)
+		case "deadline_ms":
+			return number(&p.Deadline, name, v)
+		case "at_ms":
+			return number(&p.At, name, v)
+		case "work":
+			p.Work = append(p.Work[:0:0], v...) // v is only good until the next message
+			return nil
+		case "key":
+			to = &p.Key
+		case "again":
+			to = &p.Again
+		case "write":
+			to = &p.Write
+		default:
+			return fmt.Errorf("params.%.40s: unknown field", name)
+		}
+		if err := json.Unmarshal(v, to); err != nil {
+			return fmt.Errorf("params.%s: %.40s: %w", name, v, err)
+		}
+		return nil
+	})
+}
+
+func number(to **float64, name string, v json.RawMessage) error {
+	x, err := strconv.ParseFloat(string(v), 64)
+	if err != nil || v[0] == 'n' {
+		if string(v) == "null" {
+			return nil
+		}
+		return fmt.Errorf("params.%s: %.40s, want a number", name, v)
+	}
+	*to = &x
+	return nil
 }
 
 const maxKey = 128
 
 func (p *params) check(k *decide.Class, most float64) error {
-	number := func(field string, v *float64, least float64) error {
+	least := func(field string, v *float64, least float64) error {
 		if v != nil && (!(*v >= least) || math.IsInf(*v, 0)) {
 			return fmt.Errorf("params.%s: %v, want a number of %v or more", field, *v, least)
 		}
 		return nil
 	}
-	if err := number("units", p.Units, 0); err != nil {
+	if err := least("units", p.Units, 0); err != nil {
 		return err
 	}
-	if err := number("deadline_ms", p.Deadline, 0); err != nil {
+	if err := least("deadline_ms", p.Deadline, 0); err != nil {
 		return err
 	}
 	switch {
@@ -154,13 +199,9 @@
 		return
 	}
 	var p params
-	if len(it.Params) > 0 {
-		dec := json.NewDecoder(bytes.NewReader(it.Params))
-		dec.DisallowUnknownFields()
-		if err := dec.Decode(&p); err != nil {
-			fail(&jsonrpc.Error{Code: jsonrpc.CodeInvalidParams, Message: "params: " + err.Error()})
-			return
-		}
+	if err := p.read(it.Params); err != nil {
+		fail(&jsonrpc.Error{Code: jsonrpc.CodeInvalidParams, Message: err.Error()})
+		return
 	}
 	if err := p.check(k, c.s.maxUnits); err != nil {
 		fail(&jsonrpc.Error{Code: jsonrpc.CodeInvalidParams, Message: err.Error()})
--- a/jsonrpc/jsonrpc.go
+++ b/jsonrpc/jsonrpc.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"unicode/utf8"
 )
 
 // Codes of errors. Those from -32768 to -32000 are the specification's (section 5.1); of its range for
@@ -51,17 +52,8 @@
 // Notification reports whether no answer is owed.
 func (it *Item) Notification() bool { return !it.Bad && it.Method != "" && it.ID == "" }
 
-type wire struct {
-	Version *string         `json:"jsonrpc"`
-	Method  json.RawMessage `json:"method"`
-	Params  json.RawMessage `json:"params"`
-	ID      json.RawMessage `json:"id"`
-	Result  json.RawMessage `json:"result"`
-	Error   *Error          `json:"error"`
-}
-
 // Parse reads a message. batch is set if it was an array. err is set if nothing of it can be taken: then one
-// error with id null is the answer (specification section 6). A batch of more than most items is refused.
+// error with id null is the answer (specification section 6). Params and results of a single call are parts of data. A batch of more than most items is refused.
 func Parse(data []byte, most int) (items []Item, batch bool, err *Error) {
 	data = bytes.TrimLeft(data, " \t\r\n")
 	if len(data) == 0 || data[0] != '[' {
@@ -92,14 +84,28 @@
 }
 
 func parseItem(raw []byte) Item {
-	var w wire
+	var version, methodRaw, params, idRaw, result, errRaw json.RawMessage
 	if trimmed := bytes.TrimLeft(raw, " \t\r\n"); len(trimmed) == 0 || trimmed[0] != '{' {
 		return invalid(Null, "not an object")
 	}
-	if err := json.Unmarshal(raw, &w); err != nil {
-		return invalid(Null, "not a JSON-RPC object")
-	}
-	id, ok := parseID(w.ID)
+	Members(raw, func(name string, value json.RawMessage) error {
+		switch name {
+		case "jsonrpc":
+			version = value
+		case "method":
+			methodRaw = value
+		case "params":
+			params = value
+		case "id":
+			idRaw = value
+		case "result":
+			result = value
+		case "error":
+			errRaw = value
+		}
+		return nil
+	})
+	id, ok := parseID(idRaw)
 	if !ok {
 		return invalid(Null, "id is neither a string, a number nor null")
 	}
@@ -107,23 +113,111 @@
 	if told == "" {
 		told = Null
 	}
-	if w.Version == nil || *w.Version != "2.0" {
+	if v, ok := String(version); !ok || v != "2.0" {
 		return invalid(told, `member "jsonrpc" is not "2.0"`)
 	}
-	if w.Method == nil {
-		if (w.Result == nil) == (w.Error == nil) || id == "" {
+	if methodRaw == nil {
+		var e *Error
+		if errRaw != nil && string(errRaw) != "null" {
+			if e = new(Error); json.Unmarshal(errRaw, e) != nil {
+				return invalid(told, "error is not an error object")
+			}
+			if string(result) == "null" {
+				result = nil
+			}
+		}
+		if (result == nil) == (e == nil) || id == "" {
 			return invalid(told, "neither a call nor an answer")
 		}
-		return Item{ID: id, Result: w.Result, Err: w.Error}
+		return Item{ID: id, Result: result, Err: e}
 	}
-	var method string
-	if json.Unmarshal(w.Method, &method) != nil || method == "" {
+	method, ok := String(methodRaw)
+	if !ok || method == "" {
 		return invalid(told, "method is not a string with something in it")
 	}
-	if p := bytes.TrimLeft(w.Params, " \t\r\n"); len(p) > 0 && p[0] != '{' && p[0] != '[' {
+	if len(params) > 0 && params[0] != '{' && params[0] != '[' {
 		return invalid(told, "params is neither an object nor an array")
 	}
-	return Item{ID: id, Method: method, Params: w.Params}
+	return Item{ID: id, Method: method, Params: params}
+}
+
+// Members calls f for each member of an object, in the order of the text, with its value as it stands there.
+// raw must be valid JSON, as all that Parse hands on is: then a look for the ends of values is enough, and
+// nothing is checked twice. What is not an object has no members. An error of f ends it.
+func Members(raw []byte, f func(name string, value json.RawMessage) error) error {
+	i := space(raw, 0)
+	if i >= len(raw) || raw[i] != '{' {
+		return nil
+	}
+	for i = space(raw, i+1); i < len(raw) && raw[i] == '"'; {
+		end := value(raw, i)
+		name, _ := String(raw[i:end])
+		from := space(raw, space(raw, end)+1) // behind the colon
+		to := value(raw, from)
+		if to > len(raw) || from >= to {
+			return nil
+		}
+		if err := f(name, raw[from:to:to]); err != nil {
+			return err
+		}
+		if i = space(raw, to); i >= len(raw) || raw[i] != ',' {
+			return nil
+		}
+		i = space(raw, i+1)
+	}
+	return nil
+}
+
+func space(raw []byte, i int) int {
+	for i < len(raw) && (raw[i] == ' ' || raw[i] == '\n' || raw[i] == '\t' || raw[i] == '\r') {
+		i++
+	}
+	return i
+}
+
+// value returns where the value that begins at i ends.
+func value(raw []byte, i int) int {
+	for depth := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			for i++; i < len(raw) && raw[i] != '"'; i++ {
+				if raw[i] == '\\' {
+					i++
+				}
+			}
+			if depth == 0 {
+				return min(i+1, len(raw))
+			}
+		case '{', '[':
+			depth++
+		case '}', ']':
+			if depth--; depth == 0 {
+				return i + 1
+			}
+			if depth < 0 {
+				return i // a number or word ends at what it stands in
+			}
+		case ',', ' ', '\n', '\t', '\r':
+			if depth == 0 {
+				return i
+			}
+		}
+	}
+	return len(raw)
+}
+
+// String reads a JSON string.
+func String(raw json.RawMessage) (string, bool) {
+	if len(raw) < 2 || raw[0] != '"' {
+		return "", false
+	}
+	body := raw[1 : len(raw)-1]
+	if bytes.IndexByte(body, '\\') < 0 && utf8.Valid(body) {
+		return string(body), true
+	}
+	var s string
+	err := json.Unmarshal(raw, &s)
+	return s, err == nil
 }
 
 // parseID keeps an id in one form: two spellings of a string are the same id.
@@ -133,8 +227,11 @@
 	}
 	switch c := raw[0]; {
 	case c == '"':
-		var s string
-		if json.Unmarshal(raw, &s) != nil {
+		if bytes.IndexByte(raw, '\\') < 0 && utf8.Valid(raw) {
+			return ID(raw), true
+		}
+		s, ok := String(raw)
+		if !ok {
 			return "", false
 		}
 		b, _ := json.Marshal(s)
@@ -145,31 +242,6 @@
 	return "", false
 }
 
-// UnmarshalJSON takes the member of a wire object; json would drop a null that stands for an id.
-func (w *wire) UnmarshalJSON(data []byte) error {
-	var m map[string]json.RawMessage
-	if err := json.Unmarshal(data, &m); err != nil {
-		return err
-	}
-	w.Method, w.Params, w.ID, w.Result = m["method"], m["params"], m["id"], m["result"]
-	if v, ok := m["jsonrpc"]; ok {
-		var s string
-		if json.Unmarshal(v, &s) == nil {
-			w.Version = &s
-		}
-	}
-	if e, ok := m["error"]; ok && string(e) != "null" {
-		w.Error = &Error{}
-		if err := json.Unmarshal(e, w.Error); err != nil {
-			return err
-		}
-	}
-	if string(w.Result) == "null" && w.Error != nil {
-		w.Result = nil
-	}
-	return nil
-}
-
 // AppendCall appends a call, or with an empty id a notification. params is JSON or empty.
 func AppendCall(dst []byte, id ID, method string, params []byte) []byte {
 	dst = append(dst, `{"jsonrpc":"2.0","method":`...)
--- a/jsonrpc/jsonrpc_test.go
+++ b/jsonrpc/jsonrpc_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// FuzzMembers compares with encoding/json.
+func FuzzMembers(f *testing.F) {
+	f.Add([]byte(` { "a" : [1,{"b":"]}"}] , "\\u0063\\"":-1.5e3,"d":null,"a":"\\\\" } `))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var want map[string]json.RawMessage
+		if !json.Valid(in) || json.Unmarshal(in, &want) != nil {
+			return
+		}
+		got := map[string]json.RawMessage{}
+		Members(in, func(name string, v json.RawMessage) error { got[name] = v; return nil })
+		if len(got) != len(want) {
+			t.Fatalf("%q has members %q, want %q", in, got, want)
+		}
+		for k, v := range want {
+			if string(got[k]) != string(v) {
+				t.Fatalf("%q: member %q is %q, want %q", in, k, got[k], v)
+			}
+		}
+	})
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`[{"jsonrpc":"2.0","method":"m","id":1,"params":{}}]`))
 	f.Fuzz(func(t *testing.T, in []byte) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -331,7 +331,20 @@
 		}
 		return r
 	}
-	if err := json.Unmarshal(it.Result, &w); err != nil || w.Units < 0 || w.Metered < 0 {
+	err := jsonrpc.Members(it.Result, func(name string, v json.RawMessage) error {
+		switch name {
+		case "units":
+			return json.Unmarshal(v, &w.Units)
+		case "metered":
+			return json.Unmarshal(v, &w.Metered)
+		case "load":
+			return json.Unmarshal(v, &w.Load)
+		case "body":
+			w.Body = append(w.Body, v...) // v is only good until the next message
+		}
+		return nil
+	})
+	if err != nil || len(it.Result) == 0 || it.Result[0] != '{' || !(w.Units >= 0) || w.Metered < 0 {
 		return Result{Outcome: decide.Error}
 	}
 	return Result{decide.OK, w.Body, w.Units, w.Metered, w.Load}
