A node connection whose calls were given up while it opened is closed when idle

Cause: the idle time began only when a call ended on an open connection; one whose calls were all given up during its handshake stayed for good. Found by the test of clients that leave, which waits for all node connections to go.

--- a/bench/main.go
+++ b/bench/main.go
@@ -62,36 +62,24 @@
 	if err != nil {
 		return "", err
 	}
-	go func() {
+	go link.Listen(ln, func(nc net.Conn) {
+		l, _, err := link.Accept(nc, "jsonrpc", 5*time.Second, link.Options{Queue: 64 << 20, ReadBuffer: 16 << 10})
+		if err != nil {
+			return
+		}
 		for {
-			nc, err := ln.Accept()
+			data, err := l.Read()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer nc.Close()
-				br := bufio.NewReaderSize(nc, 16<<10)
-				u, err := ws.ReadUpgrade(br)
-				if err != nil {
-					return
+			items, _, _ := jsonrpc.Parse(data, 1)
+			for _, it := range items {
+				if it.ID != "" {
+					l.Send(jsonrpc.AppendResult(nil, it.ID, []byte(`{"units":1,"body":{"ok":true}}`)))
 				}
-				nc.Write(u.Accept("jsonrpc"))
-				l := link.New(nc, br, ws.Server, link.Options{Queue: 64 << 20})
-				for {
-					data, err := l.Read()
-					if err != nil {
-						return
-					}
-					items, _, _ := jsonrpc.Parse(data, 1)
-					for _, it := range items {
-						if it.ID != "" {
-							l.Send(jsonrpc.AppendResult(nil, it.ID, []byte(`{"units":1,"body":{"ok":true}}`)))
-						}
-					}
-				}
-			}()
+			}
 		}
-	}()
+	})
 	return ln.Addr().String(), nil
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -88,12 +87,8 @@
 
 // Parse reads a document; file is only named in errors. The error holds all that is wrong.
 func Parse(file string, src []byte) (*Fleet, error) {
-	nodes, err := kdl.Parse(file, src)
+	nodes, err := decode.Parse(file, src)
 	if err != nil {
-		var e *kdl.Error
-		if errors.As(err, &e) {
-			return nil, decode.Errors{{File: file, Pos: e.Pos, Field: "document", Text: e.Text}}
-		}
 		return nil, err
 	}
 	d := &decoder{Decoder: decode.Decoder{File: file}}
--- a/config/decode/decode.go
+++ b/config/decode/decode.go
@@ -3,6 +3,7 @@
 package decode
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net"
@@ -38,6 +39,16 @@
 	return strings.Join(lines, "\n")
 }
 
+// Parse reads a document; a fault of its form is an error of the field "document".
+func Parse(file string, src []byte) ([]*kdl.Node, error) {
+	nodes, err := kdl.Parse(file, src)
+	var e *kdl.Error
+	if errors.As(err, &e) {
+		return nil, Errors{{File: file, Pos: e.Pos, Field: "document", Text: e.Text}}
+	}
+	return nodes, err
+}
+
 // Decoder turns nodes into settings and keeps every error it meets.
 type Decoder struct {
 	File string
--- a/day/script.go
+++ b/day/script.go
@@ -3,7 +3,6 @@
 package day
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -91,12 +90,8 @@
 
 // Parse reads a day's file; file is only named in errors.
 func Parse(file string, src []byte) (*Script, error) {
-	nodes, err := kdl.Parse(file, src)
+	nodes, err := decode.Parse(file, src)
 	if err != nil {
-		var e *kdl.Error
-		if errors.As(err, &e) {
-			return nil, decode.Errors{{File: file, Pos: e.Pos, Field: "document", Text: e.Text}}
-		}
 		return nil, err
 	}
 	d := &decode.Decoder{File: file}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -258,7 +258,7 @@
 // TestClientsThatLeave has clients go in every way with hundreds of calls open: nothing leaks. There are many
 // nodes, as the core lets no more than a few calls wait at one that is silent.
 func TestClientsThatLeave(t *testing.T) {
-	b := newBench(t, 100, nil)
+	b := newBench(t, 100, func(f *config.Fleet) { f.Caps.NodeIdle = 20 * time.Millisecond })
 	for _, n := range b.nodes {
 		n.Set(func(x *node.Trouble) { x.Silent = true })
 	}
@@ -313,11 +313,18 @@
 			b.gw.loop.Ask(func() { n = len(b.gw.loop.opens) })
 			return n == 0
 		})
+		// Connections to nodes are closed when idle, so that what is left is not theirs.
+		eventually(t, x.name+": no connection is left", func() bool { return b.gw.State().NodeConns == 0 })
 		if goroutines == 0 {
-			goroutines = runtime.NumGoroutine()
+			eventually(t, "goroutines settle", func() bool {
+				n := runtime.NumGoroutine()
+				time.Sleep(20 * time.Millisecond)
+				goroutines = runtime.NumGoroutine()
+				return n == goroutines
+			})
 		}
 	}
-	eventually(t, "goroutines are as after the first", func() bool { return runtime.NumGoroutine() <= goroutines+20 })
+	eventually(t, "goroutines are as after the first", func() bool { return runtime.NumGoroutine() <= goroutines+5 })
 }
 
 func refusals(s State) (n int64) {
--- a/link/link.go
+++ b/link/link.go
@@ -118,6 +118,37 @@
 	return New(nc, br, ws.Client, o), nil
 }
 
+// Accept does the server's handshake for a peer that need not be known, within the time.
+func Accept(nc net.Conn, protocol string, within time.Duration, o Options) (*Conn, *ws.Upgrade, error) {
+	o = o.filled()
+	br := bufio.NewReaderSize(nc, o.ReadBuffer)
+	nc.SetDeadline(time.Now().Add(within))
+	u, err := ws.ReadUpgrade(br)
+	if err != nil {
+		return nil, nil, err
+	}
+	if _, err := nc.Write(u.Accept(protocol)); err != nil {
+		return nil, nil, err
+	}
+	nc.SetDeadline(time.Time{})
+	return New(nc, br, ws.Server, o), u, nil
+}
+
+// Listen hands each connection to f, in a goroutine of its own, until the listener is closed.
+func Listen(ln net.Listener, f func(net.Conn)) {
+	for {
+		nc, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond) // such as no more file descriptors
+			continue
+		}
+		go func() { defer nc.Close(); f(nc) }()
+	}
+}
+
 // RemoteAddr is the peer's address.
 func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
 
--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -3,9 +3,7 @@
 package list
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
 	"net"
 	"sort"
 	"strconv"
@@ -16,7 +14,6 @@
 	"winghatch/jsonrpc"
 	"winghatch/link"
 	"winghatch/nodelist"
-	"winghatch/ws"
 )
 
 // List is a running one.
@@ -45,7 +42,7 @@
 	}
 	l := &List{ln: ln, log: log, lag: lag, all: map[string]nodelist.Entry{}, ever: map[string]bool{}, subs: map[*link.Conn]int{},
 		nets: map[net.Conn]bool{}}
-	go l.serve()
+	go link.Listen(ln, l.conn)
 	return l, nil
 }
 
@@ -177,34 +174,12 @@
 	}
 }
 
-func (l *List) serve() {
-	for {
-		nc, err := l.ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		go l.conn(nc)
-	}
-}
-
 func (l *List) conn(nc net.Conn) {
-	defer nc.Close()
-	br := bufio.NewReader(nc)
-	nc.SetDeadline(time.Now().Add(5 * time.Second))
-	u, err := ws.ReadUpgrade(br)
+	c, u, err := link.Accept(nc, "jsonrpc", 5*time.Second, link.Options{Queue: 8 << 20})
 	if err != nil {
 		return
 	}
 	rank, _ := strconv.Atoi(u.Header["x-gateway-rank"])
-	if _, err := nc.Write(u.Accept("jsonrpc")); err != nil {
-		return
-	}
-	nc.SetDeadline(time.Time{})
-	c := link.New(nc, br, ws.Server, link.Options{Queue: 8 << 20})
 	l.mu.Lock()
 	l.subs[c], l.nets[nc] = rank, true
 	if !l.mute && !l.down {
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -4,9 +4,7 @@
 package node
 
 import (
-	"bufio"
 	"encoding/json"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -17,7 +15,6 @@
 	"winghatch/audit"
 	"winghatch/jsonrpc"
 	"winghatch/link"
-	"winghatch/ws"
 )
 
 // Class says how a node treats a class of work.
@@ -153,7 +150,7 @@
 	if n.cold() {
 		o.Log.Add(audit.Record{K: audit.Cold, Node: n.addr, Capacity: n.capacity(), From: o.From, For: o.For})
 	}
-	go n.serve()
+	go link.Listen(ln, n.conn)
 	return n, nil
 }
 
@@ -216,33 +213,12 @@
 	n.mu.Unlock()
 }
 
-func (n *Node) serve() {
-	for {
-		nc, err := n.ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		go n.conn(nc)
-	}
-}
-
 func (n *Node) conn(nc net.Conn) {
-	defer nc.Close()
-	br := bufio.NewReaderSize(nc, 16<<10)
-	nc.SetDeadline(time.Now().Add(5 * time.Second))
-	u, err := ws.ReadUpgrade(br)
+	l, _, err := link.Accept(nc, "jsonrpc", 5*time.Second, link.Options{Queue: 8 << 20, ReadBuffer: 16 << 10})
 	if err != nil {
 		return
 	}
-	if _, err := nc.Write(u.Accept("jsonrpc")); err != nil {
-		return
-	}
-	nc.SetDeadline(time.Time{})
-	c := &conn{n: n, link: link.New(nc, br, ws.Server, link.Options{Queue: 8 << 20}), jobs: map[string]*job{}}
+	c := &conn{n: n, link: l, jobs: map[string]*job{}}
 	n.mu.Lock()
 	if n.closed {
 		n.mu.Unlock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -183,6 +183,12 @@
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
 	delete(k.calls, c.id)
+	k.rest()
+}
+
+// rest starts the idle time of a connection without calls; the pool is locked. A connection whose calls were all
+// given up while it was being opened rests from its first moment, or it would stay for good.
+func (k *conn) rest() {
 	if len(k.calls) == 0 && !k.dead && k.link != nil && k.idle == nil {
 		k.idle = time.AfterFunc(k.pool.o.Idle, k.expire)
 	}
@@ -256,6 +262,7 @@
 	k.link = l
 	first := k.pending
 	k.pending = nil
+	k.rest()
 	p.mu.Unlock()
 	stop := context.AfterFunc(p.ctx, func() { l.Close(ws.CodeGoingAway, "") })
 	defer stop()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -296,3 +296,33 @@
 		t.Errorf("outcome %d", r.Outcome)
 	}
 }
+
+// TestIdleFromTheStart gives every call up while its connection is being opened: it is closed as idle all the same.
+func TestIdleFromTheStart(t *testing.T) {
+	shake := make(chan struct{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go link.Listen(ln, func(nc net.Conn) {
+		<-shake
+		if l, _, err := link.Accept(nc, Protocol, 5*time.Second, link.Options{}); err == nil {
+			l.Read()
+		}
+	})
+	o := options()
+	o.Idle = 10 * time.Millisecond
+	p := New(o)
+	defer p.Close()
+	c, _ := send(p, ln.Addr().String(), `{}`)
+	if p.Abandon(c) != NeverLeft {
+		t.Fatal("a byte left before the handshake")
+	}
+	close(shake)
+	for until := time.Now().Add(20 * time.Second); p.Conns() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the connection stays")
+		}
+	}
+}
