--- a/day/run.go
+++ b/day/run.go
@@ -51,61 +51,73 @@
 	highestPort = 32000
 )
 
-var ports struct {
-	sync.Mutex
-	taken map[int]bool
-}
+// reserved holds the ports of a day against other days on this machine, also those of other processes: a port is
+// taken by whoever binds it at lockHost, a loopback address that nothing else uses, until the day is over. Without
+// that two days may find the same port free before either binds it.
+type reserved struct{ locks []net.Listener }
 
-// freeAddr finds a port that the kernel lets us bind, for TCP and UDP.
-func freeAddr() (string, error) {
-	ports.Lock()
-	defer ports.Unlock()
-	if ports.taken == nil {
-		ports.taken = map[int]bool{}
-	}
+const lockHost = "127.77.0.1"
+
+// addr finds a port that the kernel lets us bind, for TCP and UDP.
+func (r *reserved) addr() (string, error) {
 	for range 1000 {
 		p := lowestPort + rand.IntN(highestPort-lowestPort)
-		addr := fmt.Sprintf("127.0.0.1:%d", p)
-		if ports.taken[p] {
-			continue
-		}
-		ln, err := net.Listen("tcp", addr)
+		lock, err := net.Listen("tcp", fmt.Sprintf("%s:%d", lockHost, p))
 		if err != nil {
 			continue
 		}
-		pc, err := net.ListenPacket("udp", addr)
-		ln.Close()
-		if err != nil {
+		addr := fmt.Sprintf("127.0.0.1:%d", p)
+		if !bindable(addr) {
+			lock.Close()
 			continue
 		}
-		pc.Close()
-		ports.taken[p] = true
+		r.locks = append(r.locks, lock)
 		return addr, nil
 	}
 	return "", errors.New("day: no free port")
 }
 
+func bindable(addr string) bool {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	defer ln.Close()
+	pc, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false
+	}
+	pc.Close()
+	return true
+}
+
+func (r *reserved) release() {
+	for _, l := range r.locks {
+		l.Close()
+	}
+}
+
 // player is a day under way.
 type player struct {
-	s       *Script
-	o       Options
-	log     *audit.Log
-	fleet   *config.Fleet
-	file    string
-	list    *list.List
-	listAt  string
-	school  *school.School
-	relays  []*relay
-	rng     *rand.Rand
-	mu      sync.Mutex
-	nodes   []*slot
-	gates   []*gate
-	tapes   []string
-	errs    []error
-	wg      sync.WaitGroup
-	ctx     context.Context
-	memory  map[string]*node.Memory
-	stopped bool
+	s      *Script
+	o      Options
+	log    *audit.Log
+	fleet  *config.Fleet
+	file   string
+	list   *list.List
+	listAt string
+	school *school.School
+	relays []*relay
+	rng    *rand.Rand
+	mu     sync.Mutex
+	nodes  []*slot
+	gates  []*gate
+	tapes  []string
+	errs   []error
+	wg     sync.WaitGroup
+	ctx    context.Context
+	memory map[string]*node.Memory
+	ports  reserved
 }
 
 // slot is a node's place: what runs there comes and goes.
@@ -182,7 +194,7 @@
 	f.Gateways = append([]config.Gateway(nil), f.Gateways...)
 	f.Members = append([]config.Member(nil), f.Members...)
 	var err error
-	if p.listAt, err = freeAddr(); err != nil {
+	if p.listAt, err = p.ports.addr(); err != nil {
 		return err
 	}
 	if p.list, err = list.Start(p.listAt, p.s.ListLag, p.log); err != nil {
@@ -193,14 +205,14 @@
 	var addrs []string
 	for i := range f.Gateways {
 		g := &f.Gateways[i]
-		if g.Listen, err = freeAddr(); err != nil {
+		if g.Listen, err = p.ports.addr(); err != nil {
 			return err
 		}
-		if g.State, err = freeAddr(); err != nil {
+		if g.State, err = p.ports.addr(); err != nil {
 			return err
 		}
 		if f.Decide.Limits.Peers {
-			if g.Bind, err = freeAddr(); err != nil {
+			if g.Bind, err = p.ports.addr(); err != nil {
 				return err
 			}
 			r, err := newRelay(g.Bind, uint64(p.o.Seed)+uint64(i))
@@ -290,7 +302,7 @@
 
 // newSlot makes a place for a node, with the memory of keys that its group shares.
 func (p *player) newSlot(n Nodes) (*slot, error) {
-	addr, err := freeAddr()
+	addr, err := p.ports.addr()
 	if err != nil {
 		return nil, err
 	}
@@ -446,6 +458,7 @@
 			s.n.Stop()
 		}
 	}
+	defer p.ports.release()
 	for _, r := range p.relays {
 		r.close()
 	}
