--- a/config/config.go
+++ b/config/config.go
@@ -169,6 +169,7 @@
 		"max-units":  decode.Number(&c.MaxUnits, 0, most),
 		"settled":    decode.Flag(&c.SettledLater),
 		"intake":     decode.Rate(&c.PeerIntake),
+		"meter":      decode.Duration(&c.MeterPeriod, time.Millisecond),
 		"log":        decode.Choice(&f.Log.JSON, map[string]bool{"json": true, "text": false}),
 		"log-level":  decode.Choice(&f.Log.Level, map[string]string{"debug": "debug", "info": "info", "warn": "warn", "error": "error"}),
 		"subscribed": decode.Flag(&c.Subscribe),
--- a/config/format.go
+++ b/config/format.go
@@ -25,6 +25,9 @@
 	w.flag("settled", c.SettledLater)
 	w.flag("subscribed", c.Subscribe)
 	w.rate("intake", c.PeerIntake)
+	if c.MeterPeriod > 0 {
+		w.duration("meter", c.MeterPeriod)
+	}
 	for _, k := range c.Classes {
 		w.class(k)
 	}
--- a/day/run.go
+++ b/day/run.go
@@ -117,6 +117,7 @@
 	wg     sync.WaitGroup
 	ctx    context.Context
 	memory map[string]*node.Memory
+	meter  *node.Meter
 	ports  reserved
 }
 
@@ -271,6 +272,17 @@
 }
 
 func (p *player) startNodes() error {
+	if d := p.fleet.Decide.MeterPeriod; d > 0 {
+		rates := map[string]float64{}
+		for _, m := range p.fleet.Members {
+			for _, plan := range p.fleet.Decide.Plans {
+				if plan.Name == m.Plan {
+					rates[m.Name] = plan.Rate
+				}
+			}
+		}
+		p.meter = node.NewMeter(d, rates)
+	}
 	var all []nodelist.Entry
 	for _, n := range p.s.Nodes {
 		for range n.Count {
@@ -307,7 +319,7 @@
 		return nil, err
 	}
 	o := node.Options{Addr: addr, Zone: n.Zone, Cell: n.Cell, Cores: n.Cores, Speed: n.Speed, Queue: n.Queue,
-		Classes: map[string]node.Class{}, Seed: p.rng.Uint64(), Log: p.log}
+		Classes: map[string]node.Class{}, Seed: p.rng.Uint64(), Log: p.log, Meter: p.meter}
 	group := "all"
 	for _, k := range p.fleet.Decide.Classes {
 		o.Classes[k.Name] = node.Class{Work: n.Work[k.Name], Keyed: k.Effect == decide.Keyed, Window: k.Window}
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -42,6 +42,7 @@
 	Seed         uint64
 	Log          *audit.Log
 	Memory       *Memory // shared by the nodes of a group; nil: its own
+	Meter        *Meter  // shared by all nodes; nil: answers tell nothing of it
 }
 
 // Memory is what the nodes of a group know of keys.
@@ -282,6 +283,9 @@
 	rec.Deadline = rec.T + time.Duration(j.p.Timeout*float64(time.Millisecond))
 	n.o.Log.Add(rec)
 	c.jobs[string(it.ID)] = j
+	if n.o.Meter != nil {
+		n.o.Meter.use(j.p.Request, j.p.Member, j.p.Units)
+	}
 	n.press(now, j.work)
 	switch {
 	case n.trouble.Silent || n.fallen:
@@ -381,6 +385,9 @@
 		units = j.p.Work.Units
 	}
 	b := strconv.AppendFloat([]byte(`{"units":`), units, 'g', -1, 64)
+	if n.o.Meter != nil {
+		b = strconv.AppendInt(append(b, `,"metered":`...), int64(n.o.Meter.told(j.p.Member)), 10)
+	}
 	if !n.trouble.NoReport {
 		b = strconv.AppendInt(append(b, `,"load":{"queue":`...), int64(len(n.queue)), 10)
 		b = strconv.AppendFloat(append(b, `,"qps":`...), n.rate, 'f', 1, 64)
