--- a/bench/child.go
+++ b/bench/child.go
@@ -7,12 +7,14 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"runtime/pprof"
 	"strconv"
 	"strings"
@@ -84,6 +86,7 @@
 			}
 			u.Share = share(&p)
 		}
+		u.Sched, u.Pause = tail("/sched/latencies:seconds"), tail("/sched/pauses/total/gc:seconds")
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
 		u.Heap = m.HeapInuse + m.StackInuse
@@ -92,6 +95,30 @@
 	}
 }
 
+// tail is the 99th percentile of one of the runtime's own histograms since the start.
+func tail(name string) time.Duration {
+	m := []metrics.Sample{{Name: name}}
+	metrics.Read(m)
+	if m[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := m[0].Value.Float64Histogram()
+	all := uint64(0)
+	for _, n := range h.Counts {
+		all += n
+	}
+	sum := uint64(0)
+	for i, n := range h.Counts {
+		if sum += n; float64(sum) >= 0.99*float64(all) {
+			if b := h.Buckets[i+1]; !math.IsInf(b, 1) {
+				return time.Duration(b * float64(time.Second))
+			}
+			return time.Duration(h.Buckets[i] * float64(time.Second))
+		}
+	}
+	return 0
+}
+
 func fatal(err error) {
 	fmt.Fprintln(os.Stderr, err)
 	os.Exit(1)
--- a/bench/main.go
+++ b/bench/main.go
@@ -133,6 +133,8 @@
 	CPU   time.Duration
 	Heap  uint64 // bytes in use after a collection, with stacks
 	Share float64
+	Sched time.Duration // 99th percentile of a ready goroutine's wait for a processor
+	Pause time.Duration // and of the collector's pauses
 }
 
 func (p *path) ask() (u usage, err error) {
@@ -391,7 +393,7 @@
 	fmt.Println("| path | calls/s | to relay | CPU a call | p50 | p99 | p99.9 | added p50 | p99 | p99.9 |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	quantiles := []float64{50, 99, 99.9}
-	got := map[string]map[float64][]int64{}
+	got, waits, pauses := map[string]map[float64][]int64{}, map[string][]int64{}, map[string][]int64{}
 	for range rounds {
 		for _, name := range names {
 			p, err := open(name, dir, file, node)
@@ -403,8 +405,13 @@
 				return err
 			}
 			c.open(at, warm, span)
+			u, err := p.ask()
+			if err != nil {
+				return err
+			}
 			c.close()
 			p.stop()
+			waits[name], pauses[name] = append(waits[name], int64(u.Sched)), append(pauses[name], int64(u.Pause))
 			if got[name] == nil {
 				got[name] = map[float64][]int64{}
 			}
@@ -423,6 +430,10 @@
 		}
 		fmt.Println(added)
 	}
+	fmt.Println("\nwithin each process, p99 of a ready goroutine's wait for a processor, and of the collector's pauses:")
+	for _, name := range names[1:] {
+		fmt.Printf("  %-8s %v, %v\n", name, time.Duration(median(waits[name])), time.Duration(median(pauses[name])))
+	}
 	fmt.Printf("\nshare of the gateway's CPU in decide: %.1f%%\n\n", 100*share)
 	return nil
 }
