Pings find vanished peers, frames are bounded; tests of age, slow start, flood memory

The loop makes no log fields that nobody reads and reads numbers and keys without encoding/json. The growth table measures the relay beside the gateway.

--- a/bench/main.go
+++ b/bench/main.go
@@ -477,25 +477,30 @@
 	return nil
 }
 
+// growth measures the relay beside the gateway: what both lose as sessions grow is the sockets', not the decisions'.
 func growth(file string, warm, span time.Duration) error {
-	fmt.Printf("calls a second as sessions grow, 512 calls open\n\n| sessions | gateway | to the first |\n| --- | --- | --- |\n")
-	first := 0.0
+	fmt.Printf("calls a second as sessions grow, 512 calls open\n\n| sessions | gateway | to the first | relay | to the first |\n| --- | --- | --- | --- | --- |\n")
+	first := map[string]float64{}
 	for _, n := range []int{10, 100, 1000, 10000} {
-		p, err := start("gateway", file, "")
-		if err != nil {
-			return err
-		}
-		c, err := dialAll(p.addr, n)
-		if err != nil {
-			return err
-		}
-		rate := c.closed(512, warm, span/2)
-		c.close()
-		p.stop()
-		if first == 0 {
-			first = rate
+		row := fmt.Sprintf("| %d |", n)
+		for _, name := range []string{"gateway", "relay"} {
+			p, err := start(name, file, "")
+			if err != nil {
+				return err
+			}
+			c, err := dialAll(p.addr, n)
+			if err != nil {
+				return err
+			}
+			rate := c.closed(512, warm, span/2)
+			c.close()
+			p.stop()
+			if first[name] == 0 {
+				first[name] = rate
+			}
+			row += fmt.Sprintf(" %.0f | %.2f |", rate, rate/first[name])
 		}
-		fmt.Printf("| %d | %.0f | %.2f |\n", n, rate, rate/first)
+		fmt.Println(row)
 	}
 	return nil
 }
--- a/config/config.go
+++ b/config/config.go
@@ -51,11 +51,13 @@
 	SessionOpen int // calls of one session
 	Batch       int // calls in one message
 	Message     int // bytes
+	Frame       int // bytes of one of a message's frames
 	Queue       int // bytes that wait for one peer
 	Handshake   time.Duration
 	Write       time.Duration
-	NodeConns   int // connections to one node
-	NodeCalls   int // calls at once on one of them
+	Ping        time.Duration // silence after which a client or node is pinged; see link.Keep
+	NodeConns   int           // connections to one node
+	NodeCalls   int           // calls at once on one of them
 	NodeIdle    time.Duration
 }
 
@@ -126,8 +128,8 @@
 }
 
 func defaults() *Fleet {
-	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10,
-		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, NodeConns: 4, NodeCalls: 256,
+	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10, Frame: 64 << 10,
+		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, Ping: 15 * time.Second, NodeConns: 4, NodeCalls: 256,
 		NodeIdle: 30 * time.Second}, Log: Log{Level: "info"}}
 	f.Decide.Limits = decide.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true,
 		MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond}
@@ -343,8 +345,8 @@
 	d.Plain(at, n)
 	d.Block(at, n, decode.Fields{"sessions": decode.Whole(&c.Sessions, 1, most), "open": decode.Whole(&c.Open, 1, most),
 		"session-open": decode.Whole(&c.SessionOpen, 1, most), "batch": decode.Whole(&c.Batch, 1, most),
-		"message": decode.Size(&c.Message), "queue": decode.Size(&c.Queue), "handshake": decode.Duration(&c.Handshake, time.Millisecond),
-		"write": decode.Duration(&c.Write, time.Millisecond), "node-connections": decode.Whole(&c.NodeConns, 1, 1024),
+		"message": decode.Size(&c.Message), "frame": decode.Size(&c.Frame), "queue": decode.Size(&c.Queue), "handshake": decode.Duration(&c.Handshake, time.Millisecond),
+		"write": decode.Duration(&c.Write, time.Millisecond), "ping": decode.Duration(&c.Ping, 10*time.Millisecond), "node-connections": decode.Whole(&c.NodeConns, 1, 1024),
 		"node-calls": decode.Whole(&c.NodeCalls, 1, most), "node-idle": decode.Duration(&c.NodeIdle, time.Millisecond)}, nil)
 }
 
--- a/front/websocket/server.go
+++ b/front/websocket/server.go
@@ -3,6 +3,7 @@
 package websocket
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -164,7 +165,7 @@
 	c.link, err = link.Accept(nc, protocol, s.caps.Handshake, func(u *ws.Upgrade) (err error) {
 		c.member, err = s.known(u)
 		return err
-	}, link.Options{Message: int64(s.caps.Message), Queue: s.caps.Queue, WriteWait: s.caps.Write})
+	}, link.Options{Message: int64(s.caps.Message), Frame: int64(s.caps.Frame), Queue: s.caps.Queue, WriteWait: s.caps.Write})
 	if err == nil {
 		return c
 	}
@@ -203,6 +204,21 @@
 	return m, nil
 }
 
+// Keep finds sessions whose client vanished without closing, until the context ends. Their calls are called
+// off as those of any client that leaves.
+func (s *Server) Keep(ctx context.Context) {
+	link.Keep(ctx, s.caps.Ping, func() (out []*link.Conn) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			if c != nil {
+				out = append(out, c.link)
+			}
+		}
+		return out
+	}, func() { s.turnedAway("silent") })
+}
+
 // Drain takes no new session and no new call, and closes each session behind its last answer.
 func (s *Server) Drain() {
 	s.draining.Store(true)
--- a/front/websocket/session.go
+++ b/front/websocket/session.go
@@ -124,6 +124,10 @@
 			p.Work = append(p.Work[:0:0], v...) // v is only good until the next message
 			return nil
 		case "key":
+			if plain(v) {
+				p.Key = string(v[1 : len(v)-1])
+				return nil
+			}
 			to = &p.Key
 		case "again":
 			to = &p.Again
@@ -139,6 +143,9 @@
 	})
 }
 
+// plain reports whether a JSON value is a string that means itself, so that nothing has to be unescaped.
+func plain(v json.RawMessage) bool { return v[0] == '"' && !bytes.ContainsRune(v, '\\') }
+
 func number(to **float64, name string, v json.RawMessage) error {
 	x, err := strconv.ParseFloat(string(v), 64)
 	if err != nil || v[0] == 'n' {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,7 @@
 		}
 	}
 	g.pool = upstream.New(upstream.Options{ConnectTimeout: cfg.Limits.ConnectTimeout, Conns: f.Caps.NodeConns,
-		Calls: f.Caps.NodeCalls, Idle: f.Caps.NodeIdle, Link: link.Options{Message: int64(f.Caps.Message) * 2,
+		Calls: f.Caps.NodeCalls, Idle: f.Caps.NodeIdle, Ping: f.Caps.Ping, Link: link.Options{Message: int64(f.Caps.Message) * 2,
 			Queue: 8 * f.Caps.Queue, WriteWait: f.Caps.Write, ReadBuffer: 16 << 10}})
 	ok := false
 	var closers []io.Closer
@@ -169,6 +169,7 @@
 		g.state = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
 		goes(func() { g.state.Serve(sl) })
 	}
+	goes(func() { g.front.Keep(ctx) })
 	goes(func() { g.front.Serve(ln) })
 	g.log.Info("gateway runs", "listen", ln.Addr().String(), "fleet", g.fleet.Name)
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -4,9 +4,11 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -100,6 +102,7 @@
 	peers   Peers
 	tape    *tape.Writer
 	log     *slog.Logger
+	chatty  bool // the log takes debug lines
 	q       *queue
 	timers  timers
 	opens   map[string]*open
@@ -118,7 +121,7 @@
 	log *slog.Logger) *Loop {
 	l := &Loop{cfg: cfg, core: core, clock: clock, nodes: nodes, peers: peers, tape: tp, log: log, q: newQueue(),
 		opens: map[string]*open{}, reasons: map[string]int64{}, ends: map[string]int64{},
-		done: make(chan struct{}), quit: make(chan struct{})}
+		done: make(chan struct{}), quit: make(chan struct{}), chatty: log.Enabled(context.Background(), slog.LevelDebug)}
 	return l
 }
 
@@ -276,8 +279,10 @@
 	o := t.o
 	o.out--
 	l.ends[outcomeNames[res.Outcome]]++
-	l.log.Debug("attempt", "request", o.ID, "attempt", t.n, "member", o.Member, "server", t.node,
-		"outcome", outcomeNames[res.Outcome], "took", l.now-t.at)
+	if l.chatty { // asked first: the fields alone cost an allocation each
+		l.log.Debug("attempt", "request", o.ID, "attempt", t.n, "member", o.Member, "server", t.node,
+			"outcome", outcomeNames[res.Outcome], "took", l.now-t.at)
+	}
 	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
 		Metered: res.Metered, Report: res.Report, Done: o.finished}
 	if res.Outcome == decide.OK && !o.finished {
@@ -308,8 +313,10 @@
 	case front.Failed:
 		l.Failed.Add(1)
 	}
-	l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
-		"attempts", len(o.tries), "took", l.now-o.at)
+	if l.chatty {
+		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
+			"attempts", len(o.tries), "took", l.now-o.at)
+	}
 	if l.tamper.Final != nil {
 		l.tamper.Final(f, o.Done)
 		return
@@ -424,6 +431,9 @@
 }
 
 func appendJSON(dst []byte, s string) []byte {
+	if !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == '"' || r == '\\' || r > '~' }) {
+		return append(append(append(dst, '"'), s...), '"') // which names and keys nearly always are
+	}
 	raw, _ := json.Marshal(s) // a string always can be
 	return append(dst, raw...)
 }
--- /dev/null
+++ b/gateway/process_test.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"winghatch/config"
+	"winghatch/nodelist"
+	"winghatch/standin/node"
+)
+
+// TestMain is also a gateway's program, for tests that stop or kill one.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "gateway" {
+		f, err := config.Load(os.Args[2])
+		rank, _ := strconv.Atoi(os.Args[3])
+		var g *Gateway
+		if err == nil {
+			g, err = Start(f, Options{Rank: rank})
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		sigs := make(chan os.Signal, 1)
+		signal.Notify(sigs, syscall.SIGTERM)
+		<-sigs
+		g.Drain()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// spawn starts a gateway as a process of its own and waits until it listens.
+func spawn(t testing.TB, f *config.Fleet, rank int) *exec.Cmd {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "fleet.kdl")
+	if err := os.WriteFile(file, config.Format(f), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "gateway", file, strconv.Itoa(rank))
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	eventually(t, "the gateway listens", func() bool { return listens(f.Gateways[rank].Listen) })
+	return cmd
+}
+
+// TestStopped stops a gateway by SIGSTOP and lets it go on: what came meanwhile is judged by its age, by the
+// client's own clock. What can't be in time is refused at once and never runs; what came last is served.
+func TestStopped(t *testing.T) {
+	b := newBench(t, 1, func(f *config.Fleet) { f.Gateways[0].State = freePort(t) })
+	b.gw.Stop()
+	p := spawn(t, b.fleet, 0)
+	eventually(t, "it has the list", func() bool { return strings.Contains(stateOf(b.fleet, 0), b.nodes[0].Addr()) })
+	c := b.dial(b.key)
+	began := time.Now()
+	send := func(id int) {
+		c.send(call(id, "quick", fmt.Sprintf(`{"at_ms":%g}`, float64(time.Since(began))/1e6)))
+	}
+	for i := range 20 { // the session learns what a quick call's way takes
+		send(i)
+		if s := c.read(); !strings.Contains(s, `"result"`) {
+			t.Fatal(s)
+		}
+	}
+	ran := b.nodes[0].Ran()
+	p.Process.Signal(syscall.SIGSTOP)
+	for i := range 10 {
+		send(100 + i)
+	}
+	time.Sleep(400 * time.Millisecond) // twice the class's deadline: what was sent so far is hopeless
+	for i := range 10 {
+		send(200 + i)
+	}
+	p.Process.Signal(syscall.SIGCONT)
+	old, late := 0, 0
+	for range 20 {
+		s := c.read()
+		switch stale := strings.Contains(s, `"id":10`); {
+		case stale && strings.Contains(s, `"reason":"hopeless"`):
+			old++
+		case stale:
+			t.Errorf("a call of 400 ms of age: %s", s)
+		case strings.Contains(s, `"result"`):
+			late++
+		}
+	}
+	if got := b.nodes[0].Ran() - ran; old != 10 || late == 0 || got > 10 {
+		t.Errorf("%d old calls refused, want 10; %d of the last 10 served, want some; %d ran, want 10 at most", old, late, got)
+	}
+}
+
+func stateOf(f *config.Fleet, rank int) string {
+	res, err := http.Get("http://" + f.Gateways[rank].State + "/state")
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	raw, _ := io.ReadAll(res.Body)
+	return string(raw)
+}
+
+// TestStartsFromKeptList kills a gateway and starts it again while the list is away: it serves by its last list,
+// and slowly. A bucket whose past is unknown counts as half full, a store under a ceiling as empty.
+func TestStartsFromKeptList(t *testing.T) {
+	kept := filepath.Join(t.TempDir(), "list-%d")
+	b := newBench(t, 1, func(f *config.Fleet) {
+		f.ListKept = kept
+		f.Decide.Plans[1].Rate, f.Decide.Plans[1].Burst = 0.001, 40
+		p := f.Decide.Plans[1]
+		p.Name, p.CeilingRate, p.CeilingBurst = "roofed", 0.001, 40
+		f.Decide.Plans = append(f.Decide.Plans, p)
+		m := f.Members[1]
+		m.Name, m.Plan = "roofed", "roofed"
+		m.Keys = nil
+		m.Keys = append(m.Keys, f.Secret.Members().Sum([]byte("roofed")))
+		f.Members = append(f.Members, m)
+	})
+	eventually(t, "the list is kept", func() bool {
+		u, err := nodelist.Kept(strings.ReplaceAll(kept, "%d", "0"))
+		return err == nil && len(u.Nodes) == 1
+	})
+	b.gw.Stop()
+	b.list.Stop()
+	p := spawn(t, b.fleet, 0)
+	served := func(key string) (n int) {
+		c := b.dial(key)
+		for i := range 60 {
+			c.send(call(i, "look", `{}`))
+			if strings.Contains(c.read(), `"result"`) {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "the last list is taken", func() bool { return served(b.key) > 0 })
+	if n := served("poor"); n < 15 || n > 21 {
+		t.Errorf("after a start %d of 60 are served, want half the mark of 40", n)
+	}
+	if n := served("roofed"); n > 1 {
+		t.Errorf("after a start %d are served under a ceiling, want none", n)
+	}
+	p.Process.Kill()
+	p.Wait()
+	spawn(t, b.fleet, 0)
+	if n := served("poor"); n > 21 {
+		t.Errorf("after another start %d are served, want half the mark at most", n)
+	}
+}
+
+// TestVanished lets a client vanish without a close, its call open: pings find it and leave others alone.
+func TestVanished(t *testing.T) {
+	b := newBench(t, 1, func(f *config.Fleet) { f.Caps.Ping = 50 * time.Millisecond })
+	gone, here := b.dial(b.key), b.dial(b.key)
+	b.nodes[0].Set(func(x *node.Trouble) { x.Slow = 3000 })
+	gone.send(call(1, "folio", `{}`))
+	eventually(t, "its call is open", func() bool { return b.gw.State().Open == 1 })
+	// here reads, and so answers pings; gone does neither from now on.
+	go func() {
+		for {
+			m, err := here.r.Next()
+			if err != nil {
+				return
+			}
+			if m.Op.Control() {
+				here.nc.Write(frame(0xA, string(m.Data)))
+			}
+		}
+	}()
+	eventually(t, "the silent session is cut", func() bool { return b.gw.State().TurnedAway["silent"] == 1 })
+	eventually(t, "its call is called off", func() bool { return b.gw.State().Open == 0 })
+	if n := b.gw.front.Sessions(); n != 1 {
+		t.Errorf("%d sessions, want the one that answers", n)
+	}
+}
+
+// TestFloodMemory lets many sessions flood and read nothing: what they hold is bounded by the caps.
+func TestFloodMemory(t *testing.T) {
+	const sessions, queue = 16, 64 << 10
+	b := newBench(t, 1, func(f *config.Fleet) {
+		f.Caps.Queue, f.Caps.SessionOpen, f.Caps.Write = queue, 50, 20*time.Second
+	})
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	pad := strings.Repeat("p", 1000)
+	done := make(chan int, sessions)
+	for range sessions {
+		c := b.dial(b.key)
+		go func() {
+			n := 0
+			for i := range 3000 {
+				if _, err := c.nc.Write(frame(1, call(pad+fmt.Sprint(i), "look", `{}`))); err != nil {
+					break
+				}
+				n++
+			}
+			done <- n
+		}()
+	}
+	most := uint64(0)
+	for left := sessions; left > 0; {
+		select {
+		case <-done:
+			left--
+		case <-time.After(10 * time.Millisecond):
+			most = max(most, heap())
+		}
+	}
+	// Of each session: its queue, its open calls with their work and ids, buffers, and as much for what the nodes'
+	// end of this process holds.
+	bound := uint64(sessions * 2 * (queue + 50*4<<10 + 64<<10))
+	if most > before+bound {
+		t.Errorf("%d KiB more heap under a flood of %d sessions, want %d at most", (most-before)>>10, sessions, bound>>10)
+	}
+	if sent := sessions * 3000 * 1100; uint64(sent) < 2*bound {
+		t.Fatalf("the flood of %d bytes is too small to tell", sent)
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"winghatch/ws"
@@ -19,6 +20,7 @@
 // Options bound what a connection may hold. A zero takes the default.
 type Options struct {
 	Message    int64         // bytes of a message that is read; 256 KiB
+	Frame      int64         // bytes of a frame that is read; as a message
 	Queue      int           // bytes that may wait to be written; 1 MiB
 	WriteWait  time.Duration // the peer must take a write within this; 5 s
 	CloseWait  time.Duration // and answer a close frame within this; 1 s
@@ -86,12 +88,18 @@
 	ended   bool // nothing more is read; the writer closes the socket behind its last
 	dead    bool
 	masks   *rand.ChaCha8
+
+	heard atomic.Bool // anything whole came since the last turn of Keep
+	quiet int         // Keep's: turns without
 }
 
 // New guards a connection whose handshake is done. br holds what was read of it.
 func New(nc net.Conn, br *bufio.Reader, role ws.Role, o Options) *Conn {
 	o = o.filled()
 	c := &Conn{nc: nc, r: ws.NewReader(br, role, o.Message), role: role, o: o}
+	if o.Frame > 0 {
+		c.r.LimitFrames(o.Frame)
+	}
 	if role == ws.Client {
 		var seed [32]byte
 		crand.Read(seed[:]) // masks must not be foreseen (RFC 6455 section 10.3)
@@ -288,6 +296,7 @@
 			c.end(err)
 			return nil, err
 		}
+		c.heard.Store(true)
 		switch m.Op {
 		case ws.Text:
 			return m.Data, nil
@@ -308,6 +317,39 @@
 // Ping queues a ping.
 func (c *Conn) Ping() error { return c.push(item{ws.Ping, nil, nil}) }
 
+// pings is how many go unanswered before a peer counts as gone: one may wait behind a long message.
+const pings = 2
+
+// Keep pings the connections from which nothing came for the time every, and cuts those from which nothing
+// comes after that either: a peer that vanished without closing is found by it within four times every. It
+// counts its own turns and no clock, so that a process that stood still does not hold its sleep against its
+// peers. It returns when the context ends; cut, if any, is told of each it cuts.
+func Keep(ctx context.Context, every time.Duration, conns func() []*Conn, cut func()) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, c := range conns() {
+			if c.heard.Swap(false) {
+				c.quiet = 0
+				continue
+			}
+			if c.quiet++; c.quiet <= pings {
+				c.Ping()
+				continue
+			}
+			c.Abort()
+			if cut != nil {
+				cut()
+			}
+		}
+	}
+}
+
 // end closes after the reader's last word: with a close frame where the connection still bears one.
 func (c *Conn) end(err error) {
 	code := ws.CloseCode(err)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -144,3 +145,52 @@
 		t.Error("the connection goes on")
 	}
 }
+
+// TestKeep cuts a peer that answers no ping and leaves one alone that does.
+func TestKeep(t *testing.T) {
+	_, deaf := ends(t, Options{})
+	client, kept := ends(t, Options{})
+	go func() {
+		for {
+			if _, err := client.Read(); err != nil {
+				return
+			}
+		}
+	}()
+	go kept.Read()
+	ctx, stop := context.WithCancel(context.Background())
+	cut := make(chan struct{}, 1)
+	ended := make(chan struct{})
+	go func() {
+		Keep(ctx, 20*time.Millisecond, func() []*Conn { return []*Conn{deaf, kept} }, func() {
+			select {
+			case cut <- struct{}{}:
+			default:
+			}
+		})
+		close(ended)
+	}()
+	if _, err := deaf.Read(); err == nil {
+		t.Error("a deaf peer is kept")
+	}
+	<-cut
+	if err := kept.Send([]byte("x")); err != nil {
+		t.Errorf("a peer that answers was cut: %v", err)
+	}
+	stop()
+	<-ended
+}
+
+// TestFrameLimit refuses a frame over its bound in a message within the message's.
+func TestFrameLimit(t *testing.T) {
+	c, s := ends(t, Options{Frame: 10})
+	c.Send([]byte("0123456789"))
+	if m, err := s.Read(); err != nil || len(m) != 10 {
+		t.Errorf("%q %v", m, err)
+	}
+	c.Send([]byte("0123456789a"))
+	var e *ws.Error
+	if _, err := s.Read(); !errors.As(err, &e) || e.Code != ws.CodeTooBig {
+		t.Errorf("%v, want 1009", err)
+	}
+}
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -99,6 +99,7 @@
 	rng     *rand.Rand
 	queue   []*job
 	running int
+	ran     int
 	started time.Time
 	fallen  bool
 	closed  bool
@@ -352,6 +353,13 @@
 	}
 }
 
+// Ran is how many calls the node has worked to their end.
+func (n *Node) Ran() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ran
+}
+
 func (n *Node) finish(j *job, took time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -360,6 +368,7 @@
 		return
 	}
 	n.note(audit.Ran, j)
+	n.ran++
 	now := time.Now()
 	n.rate = n.rate*math.Exp(-now.Sub(n.rateAt).Seconds()) + 1
 	n.rateAt = now
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	Conns          int // connections to one node
 	Calls          int // calls at once on a connection before another is opened
 	Idle           time.Duration
+	Ping           time.Duration // see link.Keep; 0: none
 	Link           link.Options
 	Path           string
 }
@@ -118,7 +120,26 @@
 		o.Path = "/"
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	return &Pool{o: o, nodes: map[string]*node{}, ctx: ctx, stop: stop}
+	p := &Pool{o: o, nodes: map[string]*node{}, ctx: ctx, stop: stop}
+	if o.Ping > 0 {
+		p.wg.Add(1)
+		go func() { defer p.wg.Done(); link.Keep(ctx, o.Ping, p.links, nil) }()
+	}
+	return p
+}
+
+// links are the connections that are open.
+func (p *Pool) links() (out []*link.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.nodes {
+		for _, k := range n.conns {
+			if k.link != nil {
+				out = append(out, k.link)
+			}
+		}
+	}
+	return out
 }
 
 // Late is how many answers came for calls that were over.
@@ -341,9 +362,12 @@
 	err := jsonrpc.Members(it.Result, func(name string, v json.RawMessage) error {
 		switch name {
 		case "units":
-			return json.Unmarshal(v, &w.Units)
+			return number(&w.Units, v)
 		case "metered":
-			return json.Unmarshal(v, &w.Metered)
+			var m float64
+			err := number(&m, v)
+			w.Metered = int(min(max(m, -1), math.MaxInt32))
+			return err
 		case "load":
 			return json.Unmarshal(v, &w.Load)
 		case "body":
@@ -357,6 +381,16 @@
 	return Result{decide.OK, w.Body, w.Units, w.Metered, w.Load}
 }
 
+// number reads a number of JSON; that it is well formed was seen when the message was parsed.
+func number(to *float64, v json.RawMessage) error {
+	if string(v) == "null" {
+		return nil
+	}
+	x, err := strconv.ParseFloat(string(v), 64)
+	*to = x
+	return err
+}
+
 // CloseIdle closes the connections to a node that carry no call.
 func (p *Pool) CloseIdle(addr string) {
 	p.mu.Lock()
--- a/ws/frame.go
+++ b/ws/frame.go
@@ -86,6 +86,7 @@
 	br     *bufio.Reader
 	role   Role
 	limit  int64 // bytes of a message
+	frame  int64 // bytes of a frame's payload
 	buf    []byte
 	ctl    [maxControl]byte
 	op     Op   // of the message under way
@@ -97,9 +98,13 @@
 // NewReader returns a reader for a connection on which we have the role. A message of more than limit bytes
 // is refused with code 1009, before its payload is read.
 func NewReader(br *bufio.Reader, role Role, limit int64) *Reader {
-	return &Reader{br: br, role: role, limit: limit}
+	return &Reader{br: br, role: role, limit: limit, frame: limit}
 }
 
+// LimitFrames refuses also a frame of more than n bytes of payload with code 1009 (RFC 6455 section 10.4 asks
+// for limits on either).
+func (r *Reader) LimitFrames(n int64) { r.frame = min(n, r.limit) }
+
 type header struct {
 	fin    bool
 	op     Op
@@ -174,6 +179,9 @@
 	if !r.inside {
 		r.op, r.inside, r.utf = h.op, true, utf8Check{}
 	}
+	if h.length > r.frame {
+		return false, breach(CodeTooBig, "frame of more than %d bytes", r.frame)
+	}
 	if int64(len(r.buf))+h.length > r.limit {
 		return false, breach(CodeTooBig, "message of more than %d bytes", r.limit)
 	}
