Terms of a customer change in service; calls of set-aside units pass by its bucket

Need: members change plans in the middle of term and reserve units; the module knew a customer's plan once for all.

--- a/decide/api.go
+++ b/decide/api.go
@@ -255,6 +255,14 @@
 		First, Spread             int // the customer's gateways: number of the first, and how many
 		Again                     bool
 		Write                     bool
+		Reserved                  bool // its units were set aside elsewhere: no bucket is asked or charged
+	}
+	// Terms puts a customer on the terms given, from now on, whatever plan its requests name. The plan's name must
+	// be of a known one. What the customer has used stays used; Return units of it are given back.
+	Terms struct {
+		Customer string
+		Plan     Plan
+		Return   float64
 	}
 	// AnswerStarted says that a streamed answer has begun.
 	AnswerStarted struct {
@@ -307,6 +315,7 @@
 func (ProbeEnded) event()    {}
 func (PeerMessage) event()   {}
 func (Counted) event()       {}
+func (Terms) event()         {}
 
 // Reason tells refusals apart, for operators; clients need none of it.
 type Reason string
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -83,6 +83,7 @@
 	toldGain    = 0.1  // gain of a told figure in that mean: ten words are a picture of the fleet ...
 	ownGain     = 0.03 // ... and of the own at each beat: without words the mean is the own in some seconds
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
+	reservedTo  = 1.25 // times as much pressure: reserved work goes before other of the same worth
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
 	retryAdvice = 200 * time.Millisecond
 )
@@ -116,6 +117,8 @@
 		g.timer(e.Token)
 	case PeerMessage:
 		g.heard(e)
+	case Terms:
+		g.newTerms(e)
 	}
 	return g.out
 }
@@ -225,6 +228,30 @@
 	g.tellSoon(c, 0, len(g.peers))
 }
 
+// newTerms changes a customer's plan. Used units stay in its buckets: over a lower mark nothing passes until
+// they have leaked at the new rate, under a higher one only the difference is new, and a change there and
+// back gives nothing. Without a rate nothing leaks, so a level from then counts up to the mark. Attempts out
+// go on and count under the new cap, a home's grants stay. A store under a ceiling is cut, never filled.
+func (g *Gateway) newTerms(e Terms) {
+	no, ok := g.plans[e.Plan.Name]
+	if !ok || e.Plan.validate("Terms") != nil {
+		return
+	}
+	t := &terms{e.Plan, no}
+	g.terms[shortKey(e.Customer)] = t
+	c := g.customers[shortKey(e.Customer)]
+	if c == nil {
+		return
+	}
+	g.leak(c) // by the old terms up to now
+	had := c.plan.Rate > 0
+	if c.plan, c.planNo = &t.Plan, no; !had {
+		c.level, c.whole = min(c.level, c.part*c.plan.Burst), min(c.whole, c.plan.Burst)
+	}
+	c.level, c.whole = max(0, c.level-e.Return), max(0, c.whole-e.Return)
+	g.leak(c)
+}
+
 // ---- Sharing.
 
 // tellsAll reports whether the intake lets every gateway tell every other often enough.
@@ -710,6 +737,8 @@
 	r.cust, r.granted = c, -1
 	g.requests[e.ID] = r
 	switch {
+	case e.Reserved:
+		g.decide(r, true)
 	case g.mesh:
 		g.decide(r, g.admit(c, r))
 	case c.shut > g.now || g.shed(r): // a home is not asked in vain
@@ -753,7 +782,7 @@
 		r.why = NoServer
 	case cost > shedTo*(r.until-g.now).Seconds():
 		r.why, s = Hopeless, nil
-	case g.mesh && g.shed(r):
+	case (g.mesh || r.Reserved) && g.shed(r):
 		r.why, s = Shed, nil
 	}
 	if s == nil {
@@ -762,8 +791,10 @@
 		g.finish(r)
 		return
 	}
-	r.cust.store -= r.units
-	g.charge(r.cust, r.units)
+	if !r.Reserved {
+		r.cust.store -= r.units
+		g.charge(r.cust, r.units)
+	}
 	g.budget = min(budgetMost, g.budget+budgetPart)
 	g.send(r, s)
 }
@@ -796,7 +827,11 @@
 func (g *Gateway) shed(r *request) bool {
 	value := r.class.Worth * r.cust.plan.Price * r.units / max(r.class.base, 1e-6)
 	g.value += 0.01 * (value - g.value)
-	return g.pressed() > shedFrom+(1-shedFrom)*min(1, value/max(g.value, 1e-9))
+	bears := shedFrom + (1-shedFrom)*min(1, value/max(g.value, 1e-9))
+	if r.Reserved {
+		bears *= reservedTo
+	}
+	return g.pressed() > bears
 }
 
 func (g *Gateway) refuse(id string, why Reason) {
@@ -882,7 +917,7 @@
 	g.all.open--
 	r.cust.open--
 	g.judge(r, a, e)
-	if e.TrueUnits > 0 && g.cfg.SettledLater {
+	if e.TrueUnits > 0 && g.cfg.SettledLater && !r.Reserved {
 		g.charge(r.cust, e.TrueUnits-r.units)
 		r.more += e.TrueUnits - r.units
 		r.units = e.TrueUnits
@@ -897,7 +932,7 @@
 		g.forget(r)
 		return
 	}
-	if e.Outcome == Moot && len(r.attempts) == 1 {
+	if e.Outcome == Moot && len(r.attempts) == 1 && !r.Reserved {
 		g.charge(r.cust, -r.units) // nothing was sent, so the quota took nothing
 		r.cust.store += r.units
 		r.more = -r.units
--- a/decide/state.go
+++ b/decide/state.go
@@ -28,6 +28,7 @@
 	out            []Action
 	classes        map[string]*class
 	plans          map[string]int
+	terms          map[uint64]*terms // of customers that were put on other terms
 	servers        map[string]*server
 	order          []*server // by ID
 	requests       map[string]*request
@@ -64,6 +65,12 @@
 	left time.Duration // the most time that a first try came with
 }
 
+// terms are a customer's own; no is the plan's number in messages.
+type terms struct {
+	Plan
+	no int
+}
+
 // told is what one peer last said of a customer.
 type told struct {
 	have        bool
@@ -170,7 +177,8 @@
 	g := &Gateway{cfg: cfg, rng: rand.New(rand.NewSource(seed)), classes: map[string]*class{},
 		plans: map[string]int{}, servers: map[string]*server{}, requests: map[string]*request{},
 		timers: map[uint64]attemptRef{}, nextToken: beatToken + 1, customers: map[uint64]*customer{},
-		asks: map[uint64]*request{}, shorts: map[uint64]*server{}, silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
+		asks: map[uint64]*request{}, terms: map[uint64]*terms{}, shorts: map[uint64]*server{},
+		silent: map[int]time.Duration{}, trip: askFirst, budget: budgetMost}
 	if g.mesh = g.tellsAll(); g.mesh && cfg.Limits.Peers {
 		g.peers = make([]peer, cfg.Gateways)
 	}
@@ -243,6 +251,9 @@
 		return c
 	}
 	p := &g.cfg.Plans[planNo]
+	if t := g.terms[key]; t != nil {
+		p, planNo = &t.Plan, t.no
+	}
 	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
 		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
 	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
--- /dev/null
+++ b/decide/terms_test.go
@@ -0,0 +1,193 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func (r *rig) customerOf(name string) *customer { return r.g.customers[shortKey(name)] }
+
+func alone(c *Config) { c.Gateways, c.Limits.Peers = 1, false }
+
+// plansOf returns the test's plan of that name, changed.
+func planOf(name string, edit func(*Plan)) Plan {
+	for _, p := range testConfig().Plans {
+		if p.Name == name {
+			if edit != nil {
+				edit(&p)
+			}
+			return p
+		}
+	}
+	panic(name)
+}
+
+func (r *rig) fill(customer string) (n int) {
+	for i := 0; i < 5000 && r.serve("get", "small", customer, 1); i++ {
+		n++
+	}
+	return n
+}
+
+// TestTermsShrink puts a customer on a plan whose mark is below what it has used: refused until that has leaked at
+// the new rate, and no unit is given back.
+func TestTermsShrink(t *testing.T) {
+	r := newRig(t, alone)
+	r.do(Terms{Customer: "x", Plan: planOf("wide", nil)})
+	r.serve("get", "small", "x", 1)
+	c := r.customerOf("x")
+	c.level = 100
+	r.do(Terms{Customer: "x", Plan: planOf("small", nil)})
+	if c.level != 100 || c.plan.Name != "small" {
+		t.Fatalf("level %v on plan %s, want 100 on small", c.level, c.plan.Name)
+	}
+	refused := 0.0
+	for ; !r.serve("get", "wide", "x", 1) && refused < 100; refused += 0.5 {
+		r.now += 500 * ms
+	}
+	if want := (100 - 12 + 1) / 3.0; refused < want-0.5 || refused > want+1 {
+		t.Errorf("refused for %v s, want %v: what is over the mark leaks at 3 a second", refused, want)
+	}
+}
+
+// TestTermsThereAndBack changes terms up and down within a second, many times: it gives no more than the larger plan
+// would have, and leaves the level where it was.
+func TestTermsThereAndBack(t *testing.T) {
+	for _, up := range []Plan{planOf("wide", nil), planOf("wide", func(p *Plan) { p.Rate, p.Burst = 0, 0 })} {
+		r := newRig(t, alone)
+		r.fill("x")
+		c := r.customerOf("x")
+		before := c.level
+		for range 20 {
+			up := up
+			up.Name = "small"
+			r.do(Terms{Customer: "x", Plan: up})
+			r.do(Terms{Customer: "x", Plan: planOf("small", nil)})
+		}
+		if c.level != before || r.serve("get", "small", "x", 1) {
+			t.Errorf("rate %v and back moved the level from %v to %v", up.Rate, before, c.level)
+		}
+	}
+}
+
+// TestTermsFromNoRate: without a rate nothing leaks, so a level from then counts up to the mark and no further.
+func TestTermsFromNoRate(t *testing.T) {
+	r := newRig(t, alone)
+	r.do(Terms{Customer: "x", Plan: planOf("small", func(p *Plan) { p.Rate, p.Burst = 0, 0 })})
+	for range 500 {
+		r.serve("get", "small", "x", 1)
+	}
+	r.do(Terms{Customer: "x", Plan: planOf("small", nil)})
+	if c := r.customerOf("x"); c.level != 12 {
+		t.Errorf("level %v, want the mark of 12", c.level)
+	}
+}
+
+// TestTermsReturn gives units back and never below nothing; unknown or bad terms change nothing.
+func TestTermsReturn(t *testing.T) {
+	r := newRig(t, alone)
+	r.fill("x")
+	c := r.customerOf("x")
+	before := c.level
+	r.do(Terms{Customer: "x", Plan: planOf("small", nil), Return: 2})
+	if c.level != before-2 {
+		t.Errorf("level %v, want %v", c.level, before-2)
+	}
+	r.do(Terms{Customer: "x", Plan: planOf("small", nil), Return: 1e9})
+	if c.level != 0 || c.whole < 0 {
+		t.Errorf("level %v, whole %v", c.level, c.whole)
+	}
+	for _, p := range []Plan{{Name: "unknown", Rate: 1, Burst: 1}, {Name: "small", Rate: -1}} {
+		r.do(Terms{Customer: "x", Plan: p})
+		if c.plan.Name != "small" || c.plan.Rate != 3 {
+			t.Errorf("%+v was taken", p)
+		}
+	}
+	r.do(Terms{Customer: "new", Plan: planOf("hard", nil)})
+	r.serve("get", "small", "new", 1)
+	if c := r.customerOf("new"); c.plan.Name != "hard" {
+		t.Errorf("a customer that is met after its terms is on %s, want hard", c.plan.Name)
+	}
+}
+
+// TestTermsCeiling cuts the store under a lower ceiling and never fills it under a higher one.
+func TestTermsCeiling(t *testing.T) {
+	r := newRig(t, alone)
+	r.serve("get", "hard", "x", 1)
+	r.now += 10 * time.Second
+	r.serve("get", "hard", "x", 1)
+	c := r.customerOf("x")
+	full := c.store
+	r.do(Terms{Customer: "x", Plan: planOf("hard", func(p *Plan) { p.CeilingBurst = 20 })})
+	if c.store != 20 {
+		t.Errorf("store %v, want 20", c.store)
+	}
+	r.do(Terms{Customer: "x", Plan: planOf("hard", func(p *Plan) { p.CeilingBurst = 500 })})
+	if c.store > 20 || full < 50 {
+		t.Errorf("store %v under a higher ceiling, want 20", c.store)
+	}
+}
+
+// TestReserved passes calls of set-aside units by a full bucket, without a charge, and before others under pressure.
+func TestReserved(t *testing.T) {
+	r := newRig(t, alone)
+	r.fill("x")
+	c := r.customerOf("x")
+	level, store := c.level, c.store
+	acts := r.do(Request{ID: "r", Class: "get", Plan: "small", Customer: "x", Units: 5, Deadline: r.now + time.Second,
+		Spread: 1, Reserved: true})
+	s := find[Send](acts)
+	if len(s) != 1 {
+		t.Fatalf("%v", acts)
+	}
+	r.do(AttemptEnded{ID: "r", Server: s[0].Server, Outcome: OK, Took: ms, Done: true, TrueUnits: 9})
+	if c.level != level || c.store != store || c.open != 0 {
+		t.Errorf("level %v, store %v, open %d; want %v, %v, 0", c.level, c.store, c.open, level, store)
+	}
+	first := func(reserved bool) (n int) {
+		r := newRig(t, alone)
+		for ; n < 5000; n++ {
+			acts := r.do(Request{ID: fmt.Sprint(n), Class: "get", Plan: "wide", Customer: "y", Units: 0.1,
+				Deadline: r.now + 2*time.Second, Spread: 1, Reserved: reserved})
+			if f := find[Refuse](acts); len(f) > 0 {
+				if f[0].Reason != Shed {
+					t.Errorf("refused as %s", f[0].Reason)
+				}
+				return n
+			}
+		}
+		return n
+	}
+	if with, without := first(true), first(false); with <= without {
+		t.Errorf("shed after %d reserved and %d other calls, want more of the reserved", with, without)
+	}
+}
+
+// TestOverspendWhileTermsSpread tells gateways of a smaller plan one after another, while more is asked for than
+// either plan gives. What passes beyond the new plan stays within the stated bound: the difference of the bursts, and
+// of the rates for as long as the news takes, both shared by parts that are at most 15 % over a whole (the
+// bound of TestQuotaOverAllGateways).
+func TestOverspendWhileTermsSpread(t *testing.T) {
+	const late = 2 * time.Second // until the last gateway has heard
+	for _, n := range []int{3, 50} {
+		big := planOf("small", func(p *Plan) { p.Rate, p.Burst = 30, 60 })
+		low := planOf("small", nil)
+		j := join(t, n, func(c *Config) { c.Plans[1] = big })
+		pick := func(int) int { return j.rnd.Intn(n) }
+		j.run(6*time.Second, 20*ms, "small", 2, pick)
+		before := j.used
+		for k := range n {
+			j.handle(k, Terms{Customer: "x", Plan: low})
+			j.run(late/time.Duration(n), 20*ms, "small", 2, pick)
+		}
+		j.run(10*time.Second, 20*ms, "small", 2, pick)
+		took := late.Seconds() + 10
+		over := j.used - before - (low.Rate*took + low.Burst)
+		bound := 1.15*((big.Rate-low.Rate)*late.Seconds()+big.Burst-low.Burst) + 0.15*(low.Rate*took+low.Burst)
+		if over > bound {
+			t.Errorf("%d gateways: %v units beyond the new plan, want %v at most", n, over, bound)
+		}
+		t.Logf("%d gateways: %.0f units beyond the new plan, bound %.0f", n, over, bound)
+	}
+}
--- a/decide/view.go
+++ b/decide/view.go
@@ -34,6 +34,7 @@
 type CustomerView struct {
 	Key   uint64 // hash of the customer's name, as messages tell it: see CustomerKey
 	Plan  string
+	Rate  float64 // units a second
 	Level float64 // units in this gateway's bucket ...
 	Mark  float64 // ... which holds so many
 	Part  float64
@@ -71,7 +72,7 @@
 		v.Servers = append(v.Servers, sv)
 	}
 	for _, c := range g.queue {
-		v.Customers = append(v.Customers, CustomerView{Key: c.key, Plan: c.plan.Name, Level: c.level, Part: c.part,
+		v.Customers = append(v.Customers, CustomerView{Key: c.key, Plan: c.plan.Name, Rate: c.plan.Rate, Level: c.level, Part: c.part,
 			Mark: c.part * c.plan.Burst, Whole: c.whole, Store: c.store, Open: c.open})
 	}
 	for i, p := range g.peers {
@@ -86,3 +87,26 @@
 	}
 	return v
 }
+
+// Slice is the part of a customer's ceiling that one gateway keeps.
+type Slice struct {
+	Rank int
+	Part float64
+}
+
+// Slices tells where a customer's ceiling is kept: even parts at all of its gateways, or at its homes.
+func (g *Gateway) Slices(customer string, first, spread int) (out []Slice) {
+	if spread <= 0 || spread > g.cfg.Gateways {
+		spread = g.cfg.Gateways
+	}
+	if !g.mesh {
+		for n := range homes {
+			out = append(out, Slice{g.home(shortKey(customer), n), 1.0 / homes})
+		}
+		return out
+	}
+	for n := range spread {
+		out = append(out, Slice{(first + n) % g.cfg.Gateways, 1 / float64(spread)})
+	}
+	return out
+}
--- a/tape/tape.go
+++ b/tape/tape.go
@@ -53,7 +53,7 @@
 
 func init() {
 	for _, e := range []decide.Event{decide.FleetUpdate{}, decide.Request{}, decide.AnswerStarted{}, decide.AttemptEnded{},
-		decide.ClientGone{}, decide.TimerFired{}, decide.ProbeEnded{}, decide.PeerMessage{}, decide.Counted{}} {
+		decide.ClientGone{}, decide.TimerFired{}, decide.ProbeEnded{}, decide.PeerMessage{}, decide.Counted{}, decide.Terms{}} {
 		events[reflect.TypeOf(e).Name()] = reflect.TypeOf(e)
 	}
 	for _, a := range []decide.Action{decide.Send{}, decide.Cancel{}, decide.Refuse{}, decide.Fail{}, decide.SetTimer{},
