Plans change and units are reserved in the running gateway: commands, disk, peers

Need: the books were pure parts that no gateway had.

Change: the loop owns book and ledger; their records lie in a log that syncs each (kept), spread in peers' datagrams on channels of their own, and put members on other terms in the core. winghatch plan set, terms, cancel, shorten, show, history and reserve, by requests under the fleet's secret; a watched file of changes; marked calls ("reserved": true); a stopping gateway offers what is set aside with it to others; state shows all of it.

--- a/cmd/winghatch/gateway.go
+++ b/cmd/winghatch/gateway.go
@@ -186,6 +186,14 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%.1f\t%.1f\t%.2f\t%.1f\t%.1f\t%d\n", name, v.Plan, v.Level, v.Mark, v.Part, v.Whole, v.Store, v.Open)
 	}
+	fmt.Fprintf(w, "\nplan changes\t%d\tsum\t%s\t%s\n", s.Changes, s.ChangesSum, s.BookLog)
+	if len(s.Reservations) > 0 {
+		fmt.Fprintln(w, "\nreservation\tmember\tunits\tto\topen\tfree here\tdrawn\tout\tused here\tgiven")
+		for _, v := range s.Reservations {
+			fmt.Fprintf(w, "%d\t%s\t%.6g\t%s\t%t\t%.1f\t%.1f\t%d\t%.1f\t%.1f\n", v.Number, v.Member, v.Units,
+				time.Unix(0, v.To).UTC().Format(time.RFC3339), v.Open, v.Free, v.Drawn, v.Out, v.Spent, v.Given)
+		}
+	}
 	if len(s.Core.Silent) > 0 {
 		fmt.Fprintf(w, "\nhomes that are not asked for now\t%v\n", s.Core.Silent)
 	}
--- a/cmd/winghatch/main.go
+++ b/cmd/winghatch/main.go
@@ -19,6 +19,8 @@
 	Day     dayCmd     `cmd:"" help:"Play a day file against real processes and judge it."`
 	Days    daysCmd    `cmd:"" help:"Play many days one after the other and print a table."`
 	Audit   auditCmd   `cmd:"" help:"Judge again what a day left in a folder."`
+	Plan    planCmd    `cmd:"" help:"Change plans in service, show them and what became of changes."`
+	Reserve reserveCmd `cmd:"" help:"Set units aside for a member's marked calls."`
 	Key     keyCmd     `cmd:"" help:"Make keys of members and secrets of fleets."`
 }
 
--- /dev/null
+++ b/cmd/winghatch/plan.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/gateway"
+	"winghatch/plans"
+)
+
+// asked is whom an operator asks: a gateway by its state address, with the fleet's secret.
+type asked struct {
+	Config string `required:"" help:"The fleet's settings, for its secret and addresses."`
+	Rank   int    `help:"The gateway that is asked." default:"0"`
+	At     string `help:"Its state address, if it is another than the settings'."`
+}
+
+func (a *asked) fleet() (*config.Fleet, string, error) {
+	f, err := config.Load(a.Config)
+	if err != nil {
+		return nil, "", err
+	}
+	if a.At != "" {
+		return f, a.At, nil
+	}
+	if a.Rank < 0 || a.Rank >= len(f.Gateways) {
+		return nil, "", fmt.Errorf("rank: %d, want 0 to %d", a.Rank, len(f.Gateways)-1)
+	}
+	if f.Gateways[a.Rank].State == "" {
+		return nil, "", fmt.Errorf("%s: gateway %d has no state address, and none is given by --at", a.Config, a.Rank)
+	}
+	return f, f.Gateways[a.Rank].State, nil
+}
+
+// submit hands a change in. Its number is the time in microseconds where none is given.
+func (a *asked) submit(c plans.Change) error {
+	f, at, err := a.fleet()
+	if err != nil {
+		return err
+	}
+	if c.Number == 0 {
+		c.Number = uint64(time.Now().UnixMicro())
+	}
+	got, err := gateway.Ask(at, f.Secret, c)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("taken: %s\n", &got)
+	return nil
+}
+
+// moment is a time that a flag gives.
+type moment string
+
+func (m moment) unix(field string) (int64, error) {
+	if m == "" {
+		return 0, nil
+	}
+	if d, err := time.ParseDuration(string(m)); err == nil && m[0] == '+' {
+		return time.Now().Add(d).UnixNano(), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, string(m))
+	if err != nil {
+		return 0, fmt.Errorf("%s: %q, want a time such as 2026-12-07T08:00:00Z, or +90m from now", field, string(m))
+	}
+	return at.UnixNano(), nil
+}
+
+type planCmd struct {
+	Set     planSetCmd     `cmd:"" help:"Put a member on another plan, now or from a date on."`
+	Terms   planTermsCmd   `cmd:"" help:"Change what a plan gives."`
+	Cancel  planCancelCmd  `cmd:"" help:"Take a change back, or a reservation."`
+	Shorten planShortenCmd `cmd:"" help:"Make a reservation smaller."`
+	Show    planShowCmd    `cmd:"" help:"On which terms members are."`
+	History planHistoryCmd `cmd:"" help:"All changes, and what became of them."`
+}
+
+type planSetCmd struct {
+	asked
+	Member string `arg:""`
+	Plan   string `arg:""`
+	From   moment `help:"From when on, as 2026-12-07T08:00:00Z or +90m; else at once."`
+	Number uint64 `help:"The change's number, used once in the life of the fleet; else the time in microseconds."`
+}
+
+func (c *planSetCmd) Run() error {
+	from, err := c.From.unix("from")
+	if err != nil {
+		return err
+	}
+	f, _, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	if err := c.submit(plans.Change{Number: c.Number, Kind: plans.Move, Member: c.Member, Plan: c.Plan, From: from}); err != nil {
+		return err
+	}
+	old, next := planOf(f, c.Member), find(f, c.Plan)
+	const spread = time.Second
+	if n := plans.Overspend(old, next, spread); n > 0 && from == 0 {
+		fmt.Printf("until all gateways have heard it, up to %.6g units beyond the new plan may pass if that takes %v (from %s)\n", n, spread, old.Name)
+	}
+	return nil
+}
+
+func planOf(f *config.Fleet, member string) decide.Plan {
+	for _, m := range f.Members {
+		if m.Name == member {
+			return find(f, m.Plan)
+		}
+	}
+	return decide.Plan{}
+}
+
+func find(f *config.Fleet, plan string) decide.Plan {
+	for _, p := range f.Decide.Plans {
+		if p.Name == plan {
+			return p
+		}
+	}
+	return decide.Plan{}
+}
+
+type planTermsCmd struct {
+	asked
+	Plan         string  `arg:""`
+	Rate         float64 `required:"" help:"Units a second; 0: no such quota."`
+	Burst        float64 `required:"" help:"Units at once."`
+	CeilingRate  float64 `help:"Hard ceiling, units a second."`
+	CeilingBurst float64 `help:"Hard ceiling, units at once."`
+	CeilingSlack float64 `help:"What the ceiling may be passed by."`
+	MaxOpen      int     `help:"Attempts out at once; 0: no such quota."`
+	Price        float64 `default:"1" help:"Worth of its work beside that of others."`
+	From         moment  `help:"From when on; else at once."`
+	Number       uint64  `help:"The change's number."`
+}
+
+func (c *planTermsCmd) Run() error {
+	from, err := c.From.unix("from")
+	if err != nil {
+		return err
+	}
+	return c.submit(plans.Change{Number: c.Number, Kind: plans.Terms, Plan: c.Plan, From: from, Terms: decide.Plan{Name: c.Plan,
+		Rate: c.Rate, Burst: c.Burst, CeilingRate: c.CeilingRate, CeilingBurst: c.CeilingBurst, CeilingSlack: c.CeilingSlack,
+		MaxOpen: c.MaxOpen, Price: c.Price}})
+}
+
+type planCancelCmd struct {
+	asked
+	Target uint64 `arg:"" help:"Number of the change that is taken back."`
+	Number uint64 `help:"This change's own number."`
+}
+
+func (c *planCancelCmd) Run() error {
+	return c.submit(plans.Change{Number: c.Number, Kind: plans.Cancel, Target: c.Target})
+}
+
+type planShortenCmd struct {
+	asked
+	Target uint64  `arg:"" help:"Number of the reservation."`
+	Units  float64 `required:"" help:"What it is of from now on."`
+	Number uint64  `help:"This change's own number."`
+}
+
+func (c *planShortenCmd) Run() error {
+	return c.submit(plans.Change{Number: c.Number, Kind: plans.Shorten, Target: c.Target, Units: c.Units})
+}
+
+type reserveCmd struct {
+	asked
+	Member  string  `arg:""`
+	Units   float64 `required:"" help:"Units set aside for the member's marked calls."`
+	From    moment  `required:"" help:"Begin of the window, as 2026-12-07T08:00:00Z or +90m."`
+	To      moment  `required:"" help:"End of the window."`
+	UseRate float64 `name:"rate" help:"Units a second at which they may be used; under a ceiling a quarter of it, or twice the mean, if none is given."`
+	Number  uint64  `help:"The reservation's number."`
+}
+
+func (c *reserveCmd) Run() error {
+	from, err := c.From.unix("from")
+	if err != nil {
+		return err
+	}
+	to, err := c.To.unix("to")
+	if err != nil {
+		return err
+	}
+	return c.submit(plans.Change{Number: c.Number, Kind: plans.Reserve, Member: c.Member, Units: c.Units, From: from, To: to, Rate: c.UseRate})
+}
+
+type planShowCmd struct {
+	asked
+	Member string `arg:"" optional:""`
+}
+
+func (c *planShowCmd) Run() error {
+	f, at, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	h, err := gateway.AskHistory(at, c.Member)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintf(w, "gateway %s knows %d changes, sum %s\n\n", at, h.Changes, h.Sum)
+	fmt.Fprintln(w, "member\tplan\trate\tburst\tceiling rate\tceiling burst\tmost open")
+	for _, m := range f.Members {
+		p, ok := h.Stands[m.Name]
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, p.Name, figure(p.Rate), figure(p.Burst), figure(p.CeilingRate),
+			figure(p.CeilingBurst), figure(float64(p.MaxOpen)))
+	}
+	return nil
+}
+
+func figure(v float64) string {
+	if v == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(v, 'g', 6, 64)
+}
+
+type planHistoryCmd struct {
+	asked
+	Member string `arg:"" optional:""`
+}
+
+func (c *planHistoryCmd) Run() error {
+	_, at, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	h, err := gateway.AskHistory(at, c.Member)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "number\ttaken\tby\tkind\tmember\tplan\tfrom\tto\tunits\ttarget\tstatus")
+	for _, e := range h.Entries {
+		target := ""
+		if e.Target > 0 {
+			target = fmt.Sprint(e.Target)
+		}
+		fmt.Fprintf(w, "%d\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", e.Number, e.Taken, e.Gateway, e.Kind, e.Member, e.Plan, e.From, e.To,
+			figure(e.Units), target, join(e.Status, e.Why))
+	}
+	return nil
+}
+
+func join(status, why string) string {
+	if why == "" {
+		return status
+	}
+	return status + ": " + why
+}
--- a/config/config.go
+++ b/config/config.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"winghatch/config/decode"
@@ -22,19 +24,22 @@
 	Decide   decide.Config
 	Gateways []Gateway // by rank
 	Members  []Member
-	List     string // address of the node list; empty: none
-	ListKept string // file that keeps the last list, %d stands for the rank; empty: none is kept
+	List     string  // address of the node list; empty: none
+	Kept     string  // directory of what a gateway must not forget, %d stands for the rank; empty: nothing is kept
+	Capacity float64 // units a second that the fleet is stated to bear, for reservations; 0: not stated
+	ListKept string  // file that keeps the last list, %d stands for the rank; empty: none is kept
 	Caps     Caps
 	Log      Log
 }
 
 // Gateway is one gateway's place.
 type Gateway struct {
-	Zone   string
-	Listen string // clients' WebSocket, host:port
-	Peer   string // where peers send their datagrams; empty if the fleet has none
-	Bind   string // where this gateway takes them, if that is another address than Peer
-	State  string // what `winghatch state` asks; empty: nothing listens
+	Zone    string
+	Listen  string // clients' WebSocket, host:port
+	Peer    string // where peers send their datagrams; empty if the fleet has none
+	Bind    string // where this gateway takes them, if that is another address than Peer
+	State   string // what `winghatch state` asks; empty: nothing listens
+	Changes string // file of changes that this gateway watches; empty: none
 }
 
 // Member is a customer.
@@ -77,6 +82,9 @@
 	return c, c.Validate()
 }
 
+// Dir is what a gateway keeps in, or empty.
+func (f *Fleet) Dir(rank int) string { return strings.ReplaceAll(f.Kept, "%d", strconv.Itoa(rank)) }
+
 // Load reads a file.
 func Load(file string) (*Fleet, error) {
 	src, err := os.ReadFile(file)
@@ -167,6 +175,8 @@
 		"secret":    d.secret(&f.Secret),
 		"list":      decode.Address(&f.List),
 		"list-kept": decode.Text(&f.ListKept),
+		"kept":      decode.Text(&f.Kept),
+		"capacity":  decode.Rate(&f.Capacity),
 		"max-units": decode.Number(&c.MaxUnits, 0, most),
 		"settled":   decode.Flag(&c.SettledLater),
 		"intake":    decode.Rate(&c.PeerIntake),
@@ -215,6 +225,9 @@
 		}
 		f.Members = append(f.Members, p.m)
 	}
+	if f.Kept != "" && !strings.Contains(f.Kept, "%d") && len(f.Gateways) > 1 {
+		d.Fail(n.Pos, "kept", "%q, want %%d in it, which stands for the rank: each gateway has its own", f.Kept)
+	}
 	for i, g := range f.Gateways {
 		if c.Limits.Peers && g.Peer == "" && !d.draft {
 			d.Fail(n.Pos, fmt.Sprintf("gateway[%d].peer", i), "missing, limits.peers is #true")
@@ -290,6 +303,7 @@
 	var g Gateway
 	d.Plain(at, n)
 	d.Block(at, n, decode.Fields{"listen": decode.Address(&g.Listen), "peer": decode.Address(&g.Peer), "peer-bind": decode.Address(&g.Bind), "state": decode.Address(&g.State),
+		"changes": decode.Text(&g.Changes),
 		"zone": func(s decode.Setting) {
 			if decode.Text(&g.Zone)(s); len(zones) > 0 && !zones[g.Zone] {
 				s.Wrong("one of " + list(zones))
--- a/config/format.go
+++ b/config/format.go
@@ -19,6 +19,8 @@
 	w.set("secret", quote(hex.EncodeToString(f.Secret[:])))
 	w.text("list", f.List)
 	w.text("list-kept", f.ListKept)
+	w.text("kept", f.Kept)
+	w.rate("capacity", f.Capacity)
 	w.set("log", quote(map[bool]string{true: "json", false: "text"}[f.Log.JSON]))
 	w.text("log-level", f.Log.Level)
 	w.number("max-units", c.MaxUnits)
@@ -70,6 +72,7 @@
 		w.text("peer", g.Peer)
 		w.text("peer-bind", g.Bind)
 		w.text("state", g.State)
+		w.text("changes", g.Changes)
 		w.close()
 	}
 	for _, m := range f.Members {
--- a/front/front.go
+++ b/front/front.go
@@ -41,6 +41,7 @@
 	Spread   int
 	Again    bool
 	Write    bool
+	Reserved bool            // it is to use units that were set aside for its member
 	Work     json.RawMessage // the work's own fields
 	Done     func(Final)     // called at most once, by the loop; must not block
 }
--- a/front/websocket/session.go
+++ b/front/websocket/session.go
@@ -104,6 +104,7 @@
 	Key      string
 	Again    bool
 	Write    bool
+	Reserved bool
 	Work     json.RawMessage
 }
 
@@ -133,6 +134,8 @@
 			to = &p.Again
 		case "write":
 			to = &p.Write
+		case "reserved":
+			to = &p.Reserved
 		default:
 			return fmt.Errorf("params.%.40s: unknown field", name)
 		}
@@ -220,7 +223,8 @@
 func (c *session) call(now time.Duration, it *jsonrpc.Item, k *decide.Class, p *params, answer func([]byte)) {
 	id, quiet := it.ID, it.Notification()
 	call := &front.Call{ID: c.s.nextID(), Class: k.Name, Plan: c.member.Plan, Member: c.member.Name, Key: p.Key,
-		Units: 1, First: c.member.First, Spread: c.member.Spread, Again: p.Again, Write: p.Write, Work: p.Work}
+		Units: 1, First: c.member.First, Spread: c.member.Spread, Again: p.Again, Write: p.Write, Reserved: p.Reserved,
+		Work: p.Work}
 	if p.Units != nil {
 		call.Units = *p.Units
 	}
--- /dev/null
+++ b/gateway/books.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"time"
+
+	"winghatch/decide"
+	"winghatch/front"
+	"winghatch/plans"
+	"winghatch/reserve"
+	"winghatch/wal"
+)
+
+// What peers say to each other beside the core's words begins with one of these bytes, with which no word does.
+const (
+	chanPlans   = 0x01
+	chanReserve = 0x02
+)
+
+// Kinds of record in the books' log: the byte, then what the package named writes.
+const (
+	recOwn   = 1 // plans.Change that this gateway took
+	recHeard = 2 // plans.Change of another one
+	recState = 3 // reserve.Ledger's state of a reservation
+)
+
+// snapshotEvery is how many records the books' log grows by before a snapshot lets it go.
+const snapshotEvery = 4096
+
+// books carry out what the book of plans and the ledger of reservations want done, for the loop that owns them. Their
+// log syncs each record before it counts.
+type books struct {
+	l      *Loop
+	book   *plans.Book
+	ledger *reserve.Ledger
+	wall   func() int64
+	log    *wal.Log // nil: nothing is kept
+	slog   *slog.Logger
+
+	waits   []kept
+	lastRec uint64 // in the log
+	snapAt  uint64 // lastRec at the last snapshot
+	snaps   chan struct{}
+	replies map[uint64]func(plans.Reply)
+	token   uint64
+	now     plans.Now
+	bookAt  plans.Now // when each wants to be woken
+	ledgAt  plans.Now
+	failure string
+	closed  bool
+}
+
+// kept is a record on its way to the disk, and whom it concerns.
+type kept struct {
+	rec    uint64
+	number uint64 // of an own change
+	state  uint64 // of the ledger
+}
+
+// BookOptions tell a gateway's books who they are.
+type BookOptions struct {
+	Plans    plans.Settings
+	Reserve  reserve.Settings
+	Dir      string // empty: nothing is kept
+	FS       wal.FS
+	Wall     func() int64
+	Log      *slog.Logger
+	Capacity float64
+}
+
+// openBooks recovers the books from their log.
+func openBooks(l *Loop, o BookOptions) (*books, error) {
+	b := &books{l: l, book: plans.New(o.Plans), ledger: reserve.New(o.Reserve), wall: o.Wall, slog: o.Log,
+		replies: map[uint64]func(plans.Reply){}, snaps: make(chan struct{}, 1)}
+	never := plans.Now{Mono: math.MaxInt64, Wall: math.MaxInt64}
+	b.bookAt, b.ledgAt = never, never
+	if o.Dir == "" {
+		return b, nil
+	}
+	log, rec, err := wal.Open(o.Dir, wal.Options{Mode: wal.Each, Segment: 4 << 20, FS: o.FS,
+		Durable: func(no uint64) { l.q.post(inKept{no}) },
+		Failed:  func(err error) { l.q.post(inBookLog{err}) }},
+		func(r *wal.Recovery) error { return b.restoreAll(r.Snapshot) },
+		func(r wal.Record) error { return b.restore(r.Payload) })
+	if err != nil {
+		return nil, err
+	}
+	b.log, b.lastRec, b.snapAt = log, rec.Last, rec.Covered
+	for _, h := range rec.Holes {
+		o.Log.Error("the books' log has a hole", "dir", o.Dir, "hole", h.String())
+	}
+	if rec.Torn > 0 || len(rec.Snapshots) > 0 {
+		o.Log.Warn("the books' log was cut", "dir", o.Dir, "bytes", rec.Torn, "snapshots", rec.Snapshots)
+	}
+	return b, nil
+}
+
+func (b *books) restore(p []byte) error {
+	if len(p) == 0 {
+		return errors.New("a record without a kind")
+	}
+	switch p[0] {
+	case recOwn, recHeard:
+		c, _, err := plans.ParseChange(p[1:])
+		if err != nil {
+			return err
+		}
+		b.book.Restore(c, p[0] == recOwn)
+		return nil
+	case recState:
+		return b.ledger.Restore(p[1:])
+	}
+	return fmt.Errorf("a record of kind %d, want 1 to 3", p[0])
+}
+
+// snapshot is all records that still count, each with its length before it in 4 bytes, little-endian.
+func (b *books) snapshot() (out []byte) {
+	add := func(kind byte, p []byte) {
+		out = binary.LittleEndian.AppendUint32(out, uint32(len(p)+1))
+		out = append(append(out, kind), p...)
+	}
+	for _, c := range b.book.Changes() {
+		kind := byte(recHeard)
+		if b.book.Own(&c) {
+			kind = recOwn
+		}
+		add(kind, c.Append(nil))
+	}
+	for _, s := range b.ledger.States() {
+		add(recState, s)
+	}
+	return out
+}
+
+func (b *books) restoreAll(p []byte) error {
+	for len(p) > 0 {
+		if len(p) < 4 || uint64(binary.LittleEndian.Uint32(p)) > uint64(len(p)-4) {
+			return errors.New("the snapshot is cut")
+		}
+		n := int(binary.LittleEndian.Uint32(p))
+		if err := b.restore(p[4 : 4+n]); err != nil {
+			return err
+		}
+		p = p[4+n:]
+	}
+	return nil
+}
+
+// begin tells the core what the books say, before anything else comes.
+func (b *books) begin() { b.toBook(plans.Begin{}) }
+
+func (b *books) time() plans.Now { return plans.Now{Mono: b.l.now, Wall: b.wall()} }
+
+func (b *books) toBook(ev plans.Event) {
+	for _, a := range b.book.Handle(b.time(), ev) {
+		switch a := a.(type) {
+		case plans.Keep:
+			kind := byte(recHeard)
+			k := kept{}
+			if a.Own {
+				kind, k.number = recOwn, a.Change.Number
+			}
+			b.keep(kind, a.Change.Append(nil), k)
+		case plans.Reply:
+			if f := b.replies[a.Token]; f != nil {
+				delete(b.replies, a.Token)
+				f(a)
+			}
+		case plans.Send:
+			b.send(a.To, chanPlans, a.Data)
+		case plans.Stand:
+			b.slog.Info("terms", "member", a.Member, "plan", a.Plan.Name, "rate", a.Plan.Rate, "burst", a.Plan.Burst, "change", a.Change)
+			b.l.handle(decide.Terms{Customer: a.Member, Plan: a.Plan})
+		case plans.Hold:
+			b.slog.Info("reservation", "member", a.Member, "number", a.Number, "units", a.Units)
+			b.toLedger(reserve.Hold{Reservation: a.Reservation, Slices: b.slices(a.Reservation)})
+		case plans.Cut:
+			b.toLedger(reserve.Cut{ID: a.ID, Units: a.Units})
+		case plans.Wake:
+			b.bookAt = a.At
+		case plans.Note:
+			b.slog.Warn(a.Text)
+		}
+	}
+}
+
+// slices are where the core keeps a member's ceiling; even parts, for a core that tells nothing of it.
+func (b *books) slices(r plans.Reservation) (out []reserve.Slice) {
+	c, ok := b.l.core.(interface {
+		Slices(customer string, first, spread int) []decide.Slice
+	})
+	if !ok {
+		for i := range max(1, r.Spread) {
+			out = append(out, reserve.Slice{Rank: (r.First + i) % b.l.cfg.Gateways, Part: 1 / float64(max(1, r.Spread))})
+		}
+		return out
+	}
+	for _, s := range c.Slices(r.Member, r.First, r.Spread) {
+		out = append(out, reserve.Slice{Rank: s.Rank, Part: s.Part})
+	}
+	return out
+}
+
+func (b *books) toLedger(ev reserve.Event) {
+	for _, a := range b.ledger.Handle(b.time(), ev) {
+		switch a := a.(type) {
+		case reserve.Admit:
+			if o := b.l.opens[a.ID]; o != nil && !o.finished {
+				b.l.admit(o)
+			} else {
+				b.l.q.post(inUnreserve{a.ID})
+			}
+		case reserve.Refuse:
+			if o := b.l.opens[a.ID]; o != nil && !o.finished {
+				o.reserving = false
+				b.l.final(o, front.Final{Kind: front.Refused, Reason: string(a.Reason), RetryAfter: b.l.cfg.Limits.MaxRetryAfter})
+				b.l.forget(o)
+			}
+		case reserve.Keep:
+			b.keep(recState, a.State, kept{state: a.No})
+		case reserve.Send:
+			b.send(a.To, chanReserve, a.Data)
+		case reserve.Return:
+			b.slog.Info("reserved units return", "member", a.Member, "units", a.Units)
+			b.l.handle(decide.Terms{Customer: a.Member, Plan: b.book.Stands(a.Member), Return: a.Units})
+		case reserve.Wake:
+			b.ledgAt = a.At
+		}
+	}
+}
+
+func (b *books) send(to int, channel byte, data []byte) {
+	if b.l.peers != nil {
+		b.l.peers.Send(to, string(append([]byte{channel}, data...)))
+	}
+}
+
+// heard takes what a peer said; false: it is a word for the core.
+func (b *books) heard(from int, text string) bool {
+	if len(text) == 0 || text[0] != chanPlans && text[0] != chanReserve {
+		return false
+	}
+	if text[0] == chanPlans {
+		b.toBook(plans.Heard{From: from, Data: []byte(text[1:])})
+	} else {
+		b.toLedger(reserve.Heard{From: from, Data: []byte(text[1:])})
+	}
+	return true
+}
+
+// keep writes a record; where nothing is kept it counts at once, in an event of its own.
+func (b *books) keep(kind byte, p []byte, k kept) {
+	if b.log == nil {
+		b.lastRec++
+		k.rec = b.lastRec
+		b.waits = append(b.waits, k)
+		b.l.q.post(inKept{k.rec})
+		return
+	}
+	no, err := b.log.Append(append([]byte{kind}, p...))
+	if err != nil {
+		b.slog.Error("the books' log takes nothing", "err", err)
+		if k.number != 0 {
+			b.l.q.post(inNotKept{k.number, err.Error()})
+		}
+		// What the ledger wants kept and is not stays without effect: fewer units can be used, never more.
+		return
+	}
+	b.lastRec, k.rec = no, no
+	b.waits = append(b.waits, k)
+}
+
+// durable takes that all records up to that number are.
+func (b *books) durable(rec uint64) {
+	for len(b.waits) > 0 && b.waits[0].rec <= rec {
+		k := b.waits[0]
+		b.waits = b.waits[1:]
+		switch {
+		case k.number != 0:
+			b.toBook(plans.Kept{Number: k.number})
+		case k.state != 0:
+			b.toLedger(reserve.Kept{No: k.state})
+		}
+	}
+	if b.log != nil && len(b.waits) == 0 && b.lastRec-b.snapAt >= snapshotEvery {
+		b.snapAt = b.lastRec
+		state, no := b.snapshot(), b.lastRec
+		select {
+		case b.snaps <- struct{}{}:
+			go func() {
+				defer func() { <-b.snaps }()
+				if err := b.log.Snapshot(no, state); err != nil {
+					b.slog.Error("the books' snapshot failed", "err", err)
+				}
+			}()
+		default:
+		}
+	}
+}
+
+// due does what time brings and tells when it wants to be called next.
+func (b *books) due() (in time.Duration) {
+	now := b.time()
+	past := func(at plans.Now) bool { return at.Mono <= now.Mono || at.Wall <= now.Wall }
+	if past(b.bookAt) {
+		b.toBook(plans.Tick{})
+	}
+	if past(b.ledgAt) {
+		b.toLedger(reserve.Tick{})
+	}
+	in = time.Hour
+	for _, at := range []plans.Now{b.bookAt, b.ledgAt} {
+		in = min(in, at.Mono-now.Mono)
+		if at.Wall < now.Wall+int64(time.Hour) {
+			in = min(in, time.Duration(at.Wall-now.Wall))
+		}
+	}
+	return max(in, time.Millisecond)
+}
+
+// submit hands in a change; f is called in the loop, once it is durable or refused.
+func (b *books) submit(c plans.Change, f func(plans.Reply)) {
+	b.token++
+	b.replies[b.token] = f
+	b.toBook(plans.Submit{Token: b.token, Change: c})
+}
+
+func (b *books) close() {
+	if b.log != nil && !b.closed {
+		b.closed = true
+		b.snaps <- struct{}{} // a snapshot under way ends first
+		if err := b.log.Close(); err != nil {
+			b.slog.Error("the books' log", "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/control.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"winghatch/config"
+	"winghatch/config/decode"
+	"winghatch/config/kdl"
+	"winghatch/decide"
+	"winghatch/keys"
+	"winghatch/plans"
+	"winghatch/reserve"
+)
+
+// macHeader carries the keyed hash of what an operator asks. A request that is sent twice does no harm: its number was
+// seen before.
+const macHeader = "Winghatch-Mac"
+
+func mac(s keys.Secret, body []byte) string {
+	d := s.Operators().Sum(append([]byte("POST /changes\n"), body...))
+	return hex.EncodeToString(d[:])
+}
+
+// wireChange is a change as operators hand it in and are told it.
+type wireChange struct {
+	Number uint64       `json:"number"`
+	Kind   string       `json:"kind"`
+	Member string       `json:"member,omitempty"`
+	Plan   string       `json:"plan,omitempty"`
+	Terms  *decide.Plan `json:"terms,omitempty"`
+	From   string       `json:"from,omitempty"` // RFC 3339
+	To     string       `json:"to,omitempty"`
+	Units  float64      `json:"units,omitempty"`
+	Rate   float64      `json:"rate,omitempty"`
+	Target uint64       `json:"target,omitempty"`
+}
+
+// ToldChange is a change and what became of it.
+type ToldChange struct {
+	wireChange
+	Status  string `json:"status"`
+	Why     string `json:"why,omitempty"`
+	Gateway int    `json:"gateway"`
+	Taken   string `json:"taken"`
+}
+
+func stamp(ns int64) string {
+	if ns == 0 {
+		return ""
+	}
+	return time.Unix(0, ns).UTC().Format(time.RFC3339Nano)
+}
+
+func toWire(c *plans.Change) wireChange {
+	w := wireChange{Number: c.Number, Kind: c.Kind.String(), Member: c.Member, Plan: c.Plan, From: stamp(c.From), To: stamp(c.To),
+		Units: c.Units, Rate: c.Rate, Target: c.Target}
+	if c.Kind == plans.Terms {
+		t := c.Terms
+		w.Terms = &t
+	}
+	return w
+}
+
+func (w *wireChange) change() (c plans.Change, err error) {
+	k, ok := plans.ParseKind(w.Kind)
+	if !ok {
+		return c, fmt.Errorf("change %d: kind: %q, want move, terms, reserve, cancel or shorten", w.Number, w.Kind)
+	}
+	c = plans.Change{Number: w.Number, Kind: k, Member: w.Member, Plan: w.Plan, Units: w.Units, Rate: w.Rate, Target: w.Target}
+	if w.Terms != nil {
+		c.Terms = *w.Terms
+	}
+	for _, t := range []struct {
+		field, text string
+		to          *int64
+	}{{"from", w.From, &c.From}, {"to", w.To, &c.To}} {
+		if t.text == "" {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, t.text)
+		if err != nil {
+			return c, fmt.Errorf("change %d: %s: %q, want a time such as 2026-12-07T08:00:00Z", w.Number, t.field, t.text)
+		}
+		*t.to = at.UnixNano()
+	}
+	return c, nil
+}
+
+// submitWithin is how long an operator waits for a change to be durable.
+const submitWithin = 5 * time.Second
+
+var errNotYet = errors.New("not durable yet, as its log can't be written; it may still be taken: ask the history for its number")
+
+// Submit hands in a change and waits until it is durable here. The error of one that is not taken is a *plans.Error.
+func (g *Gateway) Submit(c plans.Change) (plans.Change, error) {
+	done := make(chan plans.Reply, 1)
+	if !g.loop.Ask(func() { g.loop.books.submit(c, func(r plans.Reply) { done <- r }) }) {
+		return c, errors.New("the gateway has stopped")
+	}
+	select {
+	case r := <-done:
+		if r.Err != nil {
+			return c, r.Err
+		}
+		return r.Change, nil
+	case <-time.After(submitWithin):
+		return c, fmt.Errorf("change %d: log: %w", c.Number, errNotYet)
+	}
+}
+
+func (g *Gateway) postChange(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64<<10))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if !keys.Equal([]byte(r.Header.Get(macHeader)), []byte(mac(g.fleet.Secret, body))) {
+		http.Error(w, macHeader+": not made with this fleet's secret", http.StatusUnauthorized)
+		return
+	}
+	var in wireChange
+	if err := json.Unmarshal(body, &in); err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	c, err := in.change()
+	if err == nil {
+		c, err = g.Submit(c)
+	}
+	var e *plans.Error
+	switch {
+	case errors.As(err, &e):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, errNotYet):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(toWire(&c))
+	}
+}
+
+// History is what a gateway tells of its book.
+type History struct {
+	Changes int                    `json:"changes"`
+	Sum     string                 `json:"sum"` // gateways that tell the same hold the same
+	Stands  map[string]decide.Plan `json:"stands"`
+	Entries []ToldChange           `json:"entries"`
+}
+
+func (g *Gateway) history(member string) (h History) {
+	h.Stands = map[string]decide.Plan{}
+	g.loop.Ask(func() {
+		b := g.loop.books.book
+		n, sum := b.Version()
+		h.Changes, h.Sum = n, strconv.FormatUint(sum, 16)
+		for _, e := range b.History(member) {
+			h.Entries = append(h.Entries, ToldChange{toWire(&e.Change), string(e.Status), e.Why, e.Origin, stamp(e.Stamp)})
+		}
+		for _, m := range g.fleet.Members {
+			if member == "" || m.Name == member {
+				h.Stands[m.Name] = b.Stands(m.Name)
+			}
+		}
+	})
+	return h
+}
+
+func (g *Gateway) getHistory(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(g.history(r.URL.Query().Get("member")))
+}
+
+// Ask hands a change to a gateway at its state address and returns the change as it was taken.
+func Ask(addr string, secret keys.Secret, c plans.Change) (plans.Change, error) {
+	body, err := json.Marshal(toWire(&c))
+	if err != nil {
+		return c, err
+	}
+	var out wireChange
+	err = request(http.MethodPost, "http://"+addr+"/changes", body, mac(secret, body), &out)
+	if err != nil {
+		return c, err
+	}
+	return out.change()
+}
+
+// AskHistory asks a gateway its book, of one member or, with an empty name, of all.
+func AskHistory(addr, member string) (h History, err error) {
+	return h, request(http.MethodGet, "http://"+addr+"/changes?member="+member, nil, "", &h)
+}
+
+func request(method, url string, body []byte, mac string, to any) error {
+	req, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return err
+	}
+	if body != nil {
+		if req, err = http.NewRequest(method, url, bytes.NewReader(body)); err != nil {
+			return err
+		}
+		req.Header.Set(macHeader, mac)
+	}
+	client := http.Client{Timeout: submitWithin + 5*time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return errors.New(strings.TrimSpace(string(raw)))
+	}
+	return json.Unmarshal(raw, to)
+}
+
+// ---- The file of changes.
+
+// ReadChanges reads a file of changes: nodes "change" with the fields of one each. Times are RFC 3339.
+func ReadChanges(file string, src []byte) ([]plans.Change, []kdl.Pos, error) {
+	nodes, err := decode.Parse(file, src)
+	if err != nil {
+		return nil, nil, err
+	}
+	d := &decode.Decoder{File: file}
+	var out []plans.Change
+	var at []kdl.Pos
+	seen := map[int]bool{}
+	for _, n := range nodes {
+		if n.Name != "change" {
+			d.Fail(n.Pos, n.Name, "%q is not known, want nodes named \"change\"", n.Name)
+			continue
+		}
+		d.Plain("change", n)
+		var c plans.Change
+		number, target := 0, 0
+		kinds := map[string]plans.Kind{}
+		for k := plans.Move; k <= plans.Shorten; k++ {
+			kinds[k.String()] = k
+		}
+		const most = 1 << 53 // whole numbers up to there are exact
+		d.Block("change", n, decode.Fields{
+			"number": decode.Whole(&number, 1, most), "kind": decode.Choice(&c.Kind, kinds), "target": decode.Whole(&target, 1, most),
+			"member": decode.Text(&c.Member), "plan": decode.Text(&c.Plan),
+			"from": moment(&c.From), "to": moment(&c.To), "units": decode.Number(&c.Units, 0, 1e12), "use-rate": decode.Rate(&c.Rate),
+			"rate": decode.Rate(&c.Terms.Rate), "burst": decode.Number(&c.Terms.Burst, 0, 1e9),
+			"ceiling-rate": decode.Rate(&c.Terms.CeilingRate), "ceiling-burst": decode.Number(&c.Terms.CeilingBurst, 0, 1e9),
+			"ceiling-slack": decode.Number(&c.Terms.CeilingSlack, 0, 1e9), "max-open": decode.Whole(&c.Terms.MaxOpen, 0, 1<<31-1),
+			"price": decode.Number(&c.Terms.Price, 0, 1e9),
+		}, nil, "number", "kind")
+		if seen[number] && number > 0 {
+			d.Fail(n.Pos, "change.number", "%d, given before in this file", number)
+		}
+		seen[number] = true
+		c.Number, c.Target, c.Terms.Name = uint64(number), uint64(target), c.Plan
+		if c.Kind != plans.Terms {
+			c.Terms = decide.Plan{}
+		}
+		out = append(out, c)
+		at = append(at, n.Pos)
+	}
+	return out, at, d.Err()
+}
+
+func moment(to *int64) func(decode.Setting) {
+	return func(s decode.Setting) {
+		at, err := time.Parse(time.RFC3339Nano, s.Value.Text)
+		if err != nil {
+			s.Wrong("a time such as \"2026-12-07T08:00:00Z\"")
+			return
+		}
+		*to = at.UnixNano()
+	}
+}
+
+const lookEvery = 500 * time.Millisecond
+
+// watch hands in the changes of a file whenever it is another one than before. A file that can't be read whole changes
+// nothing; of one that can, each change stands for itself, and those that the book has already are passed over.
+func (g *Gateway) watch(ctx context.Context, file string) {
+	var last string
+	for {
+		if src, err := os.ReadFile(file); err == nil && string(src) != last {
+			last = string(src)
+			g.takeFile(file, src)
+		} else if err != nil && !errors.Is(err, os.ErrNotExist) && last != err.Error() {
+			last = err.Error()
+			g.log.Error("the file of changes can't be read", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+func (g *Gateway) takeFile(file string, src []byte) {
+	cs, at, err := ReadChanges(file, src)
+	if err != nil {
+		g.log.Error("the file of changes is wrong, nothing of it is taken", "err", err)
+		return
+	}
+	for i, c := range cs {
+		known := false
+		g.loop.Ask(func() { known = g.loop.books.book.Known(c) })
+		if known {
+			continue
+		}
+		if _, err := g.Submit(c); err != nil {
+			g.log.Error("a change is not taken", "at", fmt.Sprintf("%s:%d:%d", file, at[i].Line, at[i].Column), "err", err)
+		}
+	}
+}
+
+// bookOptions are a gateway's, by the fleet's settings.
+func bookOptions(f *config.Fleet, rank int, life uint64, seed int64) BookOptions {
+	o := BookOptions{Plans: plans.Settings{Rank: rank, Gateways: len(f.Gateways), Plans: f.Decide.Plans, Capacity: f.Capacity,
+		MaxUnits: max(1, f.Decide.MaxUnits), Life: life, Seed: seed},
+		Reserve: reserve.Settings{Rank: rank, Gateways: len(f.Gateways), MaxUnits: max(1, f.Decide.MaxUnits), Era: life, Seed: seed}}
+	for _, m := range f.Members {
+		o.Plans.Members = append(o.Plans.Members, plans.Member{Name: m.Name, Plan: m.Plan, First: m.First, Spread: m.Spread})
+	}
+	return o
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,8 +21,10 @@
 	"winghatch/link"
 	"winghatch/nodelist"
 	"winghatch/peer"
+	"winghatch/reserve"
 	"winghatch/tape"
 	"winghatch/upstream"
+	"winghatch/wal"
 )
 
 // origin is what the clock shows at the start of the process. It is not 0, so that a node's start some time
@@ -43,7 +47,8 @@
 	Tape io.Writer // nil: nothing is recorded
 	Log  *slog.Logger
 
-	Core   Core // nil: the module's
+	FS     wal.FS // nil: the disk
+	Core   Core   // nil: the module's
 	Tamper Tamper
 }
 
@@ -131,6 +136,14 @@
 		}
 	}
 	g.loop = NewLoop(cfg, o.Core, g.clock.Now, g.pool, peers, tp, g.log)
+	bo := bookOptions(f, o.Rank, uint64(g.epoch), o.Seed)
+	bo.Log, bo.Wall, bo.FS = g.log, func() int64 { return time.Now().UnixNano() }, o.FS
+	if f.Kept != "" {
+		bo.Dir = filepath.Join(f.Dir(o.Rank), "book")
+	}
+	if g.loop.books, err = openBooks(g.loop, bo); err != nil {
+		return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
+	}
 	g.loop.limit, g.loop.tamper = int64(f.Caps.Open), o.Tamper
 	ok = true
 	g.run(ln, sl)
@@ -147,6 +160,7 @@
 		go func() { defer g.wg.Done(); f() }()
 	}
 	goes(g.loop.Run)
+	g.loop.Ask(g.loop.books.begin)
 	if g.peers != nil {
 		goes(func() { g.peers.Serve(g.loop.Peer) })
 	}
@@ -166,14 +180,22 @@
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(g.State())
 		})
+		mux.HandleFunc("POST /changes", g.postChange)
+		mux.HandleFunc("GET /changes", g.getHistory)
 		g.state = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
 		goes(func() { g.state.Serve(sl) })
 	}
 	goes(func() { g.front.Keep(ctx) })
+	if file := g.fleet.Gateways[g.rank].Changes; file != "" {
+		goes(func() { g.watch(ctx, file) })
+	}
 	goes(func() { g.front.Serve(ln) })
 	g.log.Info("gateway runs", "listen", ln.Addr().String(), "fleet", g.fleet.Name)
 }
 
+// handOver is how long a stopping gateway offers what is set aside with it to others.
+const handOver = 500 * time.Millisecond
+
 // Drain takes nothing new, waits until every open call has its answer, within their deadlines, and stops.
 func (g *Gateway) Drain() {
 	g.front.Drain()
@@ -185,6 +207,14 @@
 	for g.loop.Open.Load() > 0 && time.Now().Before(until) {
 		time.Sleep(2 * time.Millisecond)
 	}
+	// What is set aside here goes to others, for a moment; what no one takes stays on the disk for the next life.
+	g.loop.Ask(func() { g.loop.books.toLedger(reserve.Drain{}) })
+	for until := time.Now().Add(handOver); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		owing := 0.0
+		if !g.loop.Ask(func() { owing = g.loop.books.ledger.Owing() }) || owing < 1e-9 {
+			break
+		}
+	}
 	// The last answers leave before their sessions are cut.
 	for until := time.Now().Add(time.Second); g.front.Sessions() > 0 && time.Now().Before(until); {
 		time.Sleep(2 * time.Millisecond)
@@ -203,6 +233,7 @@
 		g.state.Close()
 	}
 	g.loop.Stop()
+	g.loop.books.close()
 	g.pool.Close()
 	g.wg.Wait()
 }
@@ -229,6 +260,11 @@
 	Datagrams  peer.Counts       `json:"datagrams"`
 	Names      map[uint64]string `json:"names"` // of customers, by their keys in Core
 	Core       decide.View       `json:"core"`
+
+	Changes      int            `json:"changes"` // in the book of plans
+	ChangesSum   string         `json:"changes_sum"`
+	Reservations []reserve.View `json:"reservations,omitempty"`
+	BookLog      string         `json:"book_log,omitempty"` // why the books' log can't be written
 }
 
 // State asks the loop.
@@ -245,6 +281,9 @@
 	g.loop.Ask(func() {
 		l := g.loop
 		s.Queue, s.Turns, s.Core = l.q.len(), l.turns, l.core.View()
+		n, sum := l.books.book.Version()
+		s.Changes, s.ChangesSum = n, strconv.FormatUint(sum, 16)
+		s.Reservations, s.BookLog = l.books.ledger.Views(), l.books.failure
 		for k, v := range l.reasons {
 			s.Refused[k] = v
 		}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -14,6 +14,8 @@
 
 	"winghatch/decide"
 	"winghatch/front"
+	"winghatch/plans"
+	"winghatch/reserve"
 	"winghatch/tape"
 	"winghatch/upstream"
 )
@@ -42,7 +44,15 @@
 		from int
 		text string
 	}
-	inAsk struct{ f func() }
+	inAsk  struct{ f func() }
+	inKept struct{ rec uint64 } // the books' log is durable up to there
+	// the books' log failed, or works again
+	inBookLog struct{ err error }
+	inNotKept struct {
+		number uint64
+		why    string
+	}
+	inUnreserve struct{ id string } // a call was let pass by its reservation after it was over
 )
 
 // open is a call that has no final answer yet, or attempts out.
@@ -52,6 +62,9 @@
 	out      int
 	finished bool
 	at       time.Duration
+
+	reserving bool    // it waits for units that are set aside; the core does not know it yet
+	used      float64 // of units set aside, by the tries that have ended
 }
 
 // try is an attempt.
@@ -112,6 +125,7 @@
 	turns   int64
 	limit   int64 // calls open at once
 	tamper  Tamper
+	books   *books // nil: no changes in service
 	done    chan struct{}
 	quit    chan struct{}
 }
@@ -192,8 +206,11 @@
 			l.flushTape()
 		}
 		wait := time.Hour
+		if l.books != nil {
+			wait = l.books.due()
+		}
 		if at, ok := l.timers.next(); ok {
-			wait = max(0, at-l.clock())
+			wait = max(0, min(wait, at-l.clock()))
 		}
 		if l.q.len() > 0 {
 			wait = 0
@@ -227,15 +244,32 @@
 			o.finished = true
 			l.Counters.Gone.Add(1)
 			l.Open.Add(-1)
-			l.handle(decide.ClientGone{ID: in.id})
+			if !o.reserving {
+				l.handle(decide.ClientGone{ID: in.id})
+			}
 			l.forget(o)
 		}
 	case inEnd:
 		l.ended(in.try, in.res)
 	case inPeer:
-		l.handle(decide.PeerMessage{From: in.from, Text: in.text})
+		if l.books == nil || !l.books.heard(in.from, in.text) {
+			l.handle(decide.PeerMessage{From: in.from, Text: in.text})
+		}
 	case inAsk:
 		in.f()
+	case inKept:
+		l.books.durable(in.rec)
+	case inNotKept:
+		l.books.toBook(plans.NotKept{Number: in.number, Why: in.why})
+	case inBookLog:
+		if l.books.failure = ""; in.err != nil {
+			l.books.failure = in.err.Error()
+			l.log.Error("the books' log can't be written, changes and reservations wait", "err", in.err)
+		} else {
+			l.log.Info("the books' log works again")
+		}
+	case inUnreserve:
+		l.books.toLedger(reserve.Ended{ID: in.id})
 	}
 }
 
@@ -264,8 +298,29 @@
 func (l *Loop) request(c *front.Call) {
 	o := &open{Call: c, at: l.now}
 	l.opens[c.ID] = o
+	if c.Reserved {
+		if l.books == nil {
+			l.final(o, front.Final{Kind: front.Refused, Reason: string(reserve.None)})
+			l.forget(o)
+			return
+		}
+		o.reserving = true
+		l.books.toLedger(reserve.Call{ID: c.ID, Member: c.Member, Units: c.Units, Until: c.Deadline - answerMargin})
+		return
+	}
+	l.admit(o)
+}
+
+// answerMargin is kept for a refusal's way to the client.
+const answerMargin = 5 * time.Millisecond
+
+// admit hands a call to the core; a reserved one only once its units are there.
+func (l *Loop) admit(o *open) {
+	c := o.Call
+	o.reserving = false
 	l.handle(decide.Request{ID: c.ID, Class: c.Class, Plan: c.Plan, Customer: c.Member, Units: c.Units,
-		Deadline: c.Deadline, First: c.First, Spread: c.Spread, Again: c.Again, Write: c.Write})
+		Deadline: c.Deadline, First: c.First, Spread: c.Spread, Again: c.Again, Write: c.Write,
+		Reserved: c.Reserved})
 }
 
 // ended takes the end of an attempt. The first OK is the call's final answer.
@@ -285,6 +340,9 @@
 	}
 	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
 		Metered: res.Metered, Report: res.Report, Done: o.finished}
+	if o.Reserved {
+		o.settle(res, l.cfg.SettledLater)
+	}
 	if res.Outcome == decide.OK && !o.finished {
 		ev.Done = true
 		if l.cfg.SettledLater {
@@ -296,6 +354,19 @@
 	l.forget(o)
 }
 
+// settle notes what a try took of units set aside: what its answer told, or its guess where it may have run.
+func (o *open) settle(res upstream.Result, told bool) {
+	switch res.Outcome {
+	case decide.Full, decide.NoConnection, decide.Moot:
+	case decide.OK:
+		if o.used = o.Units; told && res.TrueUnits > 0 {
+			o.used = res.TrueUnits
+		}
+	default:
+		o.used = max(o.used, o.Units)
+	}
+}
+
 // final gives the one final answer; a second one is dropped and said.
 func (l *Loop) final(o *open, f front.Final) {
 	if o.finished {
@@ -326,8 +397,11 @@
 
 // forget drops a finished call once none of its attempts is out.
 func (l *Loop) forget(o *open) {
-	if o.finished && o.out == 0 {
+	if o.finished && o.out == 0 && l.opens[o.ID] == o {
 		delete(l.opens, o.ID)
+		if o.Reserved && l.books != nil {
+			l.books.toLedger(reserve.Ended{ID: o.ID, Used: o.used})
+		}
 	}
 }
 
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"winghatch/config"
 	"winghatch/nodelist"
 	"winghatch/standin/node"
+	"winghatch/wal"
 )
 
 // TestMain is also a gateway's program, for tests that stop or kill one.
@@ -235,3 +237,29 @@
 		t.Fatalf("the flood of %d bytes is too small to tell", sent)
 	}
 }
+
+// badDisk is a disk that may be full.
+type badDisk struct {
+	wal.Disk
+	bad atomic.Bool
+}
+
+type badFile struct {
+	wal.File
+	d *badDisk
+}
+
+func (d *badDisk) Create(name string) (wal.File, error) {
+	f, err := d.Disk.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	return &badFile{f, d}, nil
+}
+
+func (f *badFile) Write(b []byte) (int, error) {
+	if f.d.bad.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -67,6 +67,9 @@
 // Peers is the hasher of peers' datagrams.
 func (s Secret) Peers() Hasher { return Hasher{s.derive("peer datagram")} }
 
+// Operators is the hasher of what operators ask of a gateway.
+func (s Secret) Operators() Hasher { return Hasher{s.derive("operator request")} }
+
 // Sum is the keyed hash of data.
 func (h Hasher) Sum(data []byte) (d Digest) {
 	w := blake3.New(len(d), h.key[:])
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,7 +22,7 @@
 	magic   = "WHP1"
 	headLen = 4 + 8 + 2 + 2 + 8 + 8
 	sumLen  = 32
-	maxText = 256
+	maxText = 1200 // a datagram stays under 1,500 bytes
 )
 
 // head is what a datagram says beside its text.
--- a/plans/book.go
+++ b/plans/book.go
@@ -767,6 +767,21 @@
 	return e
 }
 
+// Known reports whether the book has a change of that number which says the same. A date that is left open is the same
+// as any.
+func (b *Book) Known(c Change) bool {
+	o := b.numbers[c.Number]
+	if o == nil {
+		if p, ok := b.pending[c.Number]; ok {
+			o = &p.change
+		} else {
+			return false
+		}
+	}
+	return o.Kind == c.Kind && o.Member == c.Member && o.Plan == c.Plan && o.Units == c.Units && o.Target == c.Target &&
+		(c.From == 0 || c.From == o.From) && c.To == o.To && (c.Rate == 0 || c.Rate == o.Rate) && (c.Kind != Terms || o.Terms == c.Terms)
+}
+
 // Version names the set of changes: gateways that tell the same hold the same.
 func (b *Book) Version() (changes int, sum uint64) {
 	for _, h := range b.sorted {
