--- /dev/null
+++ b/accounting/courier.go
@@ -0,0 +1,240 @@
+// Package accounting carries what is owed from the export's log to the receiver: CloudEvents 1.0 in JSON batches over
+// HTTP (the HTTP protocol binding, section 3.3). When something is sent, tried again, set aside or forgotten is decided
+// by package export.
+package accounting
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"winghatch/export"
+	"winghatch/wal"
+)
+
+// BatchType is the media type of a batch.
+const BatchType = "application/cloudevents-batch+json; charset=UTF-8"
+
+// Options tell a courier what it carries.
+type Options struct {
+	Log      *wal.Log
+	URL      string
+	Fleet    string
+	Gateway  int
+	Behind   uint64 // last record that the receiver has
+	Batch    int
+	Timeout  time.Duration
+	SetAside string // file that keeps events which the receiver will not take
+	Seed     int64
+	Acked    func(rec uint64) // from the courier's goroutine
+	Say      func(text string, args ...any)
+	// Empty ends Run as soon as all that is durable is at the receiver.
+	Empty bool
+}
+
+// Courier is one log's way to the receiver.
+type Courier struct {
+	o      Options
+	more   chan struct{}
+	client http.Client
+	cursor *wal.Cursor
+
+	mu     sync.Mutex
+	counts export.ShipCounts
+	Lost   atomic.Uint64 // records that the log lost, by their numbers
+}
+
+// New returns a courier; Run starts it.
+func New(o Options) *Courier {
+	c := &Courier{o: o, more: make(chan struct{}, 1)}
+	c.client = http.Client{Timeout: o.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second,
+		ExpectContinueTimeout: continueWait},
+		// A receiver that moved is the operator's to follow: a batch must not go where nobody said.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	return c
+}
+
+// More says that records have become durable. It never blocks.
+func (c *Courier) More() {
+	select {
+	case c.more <- struct{}{}:
+	default:
+	}
+}
+
+// Counts are as of the last step.
+func (c *Courier) Counts() export.ShipCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts
+}
+
+// Run carries until the context ends.
+func (c *Courier) Run(ctx context.Context) {
+	s := export.NewShipper(export.ShipSettings{Behind: c.o.Behind, Batch: c.o.Batch, Seed: c.o.Seed})
+	c.cursor = c.o.Log.Read(c.o.Behind + 1)
+	c.cursor.Lost = func(h wal.Hole) {
+		c.Lost.Add(h.To - h.From + 1)
+		c.o.Say("the export's log has a hole, these records will not be exported", "hole", h.String())
+	}
+	defer c.cursor.Close()
+	defer c.client.CloseIdleConnections()
+	var next export.ShipEvent = export.Start{}
+	for ctx.Err() == nil {
+		acts := s.Handle(next)
+		c.mu.Lock()
+		c.counts = s.Counts
+		c.mu.Unlock()
+		for _, a := range acts {
+			switch a := a.(type) {
+			case export.Ack:
+				c.o.Acked(a.Rec)
+			case export.Fetch:
+				next = c.fetch(a)
+			case export.Post:
+				next = c.post(ctx, a.Events)
+			case export.SetAside:
+				next = c.setAside(a)
+			case export.Sleep:
+				if a.Idle && c.o.Empty {
+					return
+				}
+				next = c.sleep(ctx, a)
+			}
+		}
+	}
+}
+
+// fetchMost is how many records are looked at in one go; most are intents, which are no events.
+const fetchMost = 20000
+
+func (c *Courier) fetch(a export.Fetch) export.ShipEvent {
+	f := export.Fetched{To: a.Behind}
+	for n := 0; n < fetchMost && len(f.Events) < a.Most; n++ {
+		r, ok, err := c.cursor.Next()
+		if err != nil {
+			f.Err = err.Error()
+			return f
+		}
+		if !ok {
+			break
+		}
+		ev, isEvent, err := export.Encode(c.o.Fleet, c.o.Gateway, r.No, r.Payload)
+		if err != nil {
+			c.o.Say("a record of the export's log can't be read and is not exported", "record", r.No, "err", err)
+		} else if isEvent {
+			f.Events = append(f.Events, ev)
+		}
+		f.To = r.No
+	}
+	return f
+}
+
+func (c *Courier) sleep(ctx context.Context, a export.Sleep) export.ShipEvent {
+	t := time.NewTimer(a.For)
+	defer t.Stop()
+	more := c.more
+	if !a.Idle {
+		more = nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-more:
+		return export.More{}
+	}
+	return export.Woken{}
+}
+
+// continueWait is how long a receiver may take to say that it reads, before it is sent the batch all the same.
+const continueWait = time.Second
+
+// watched tells whether all of a body was taken.
+type watched struct {
+	bytes.Reader
+	end atomic.Bool
+}
+
+func (w *watched) Read(b []byte) (int, error) {
+	n, err := w.Reader.Read(b)
+	if w.Len() == 0 {
+		w.end.Store(true)
+	}
+	return n, err
+}
+
+func (c *Courier) post(ctx context.Context, evs []export.Event) export.ShipEvent {
+	body := &watched{}
+	raw := []byte{'['}
+	for i, ev := range evs {
+		if i > 0 {
+			raw = append(raw, ',')
+		}
+		raw = append(raw, ev.JSON...)
+	}
+	raw = append(raw, ']')
+	body.Reset(raw)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.o.URL, body)
+	if err != nil {
+		return export.Posted{Why: err.Error()}
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", BatchType)
+	// A receiver that answers before it has read would else be believed: a batch fits into the sockets' buffers, and
+	// nothing tells one that was read from one that was not. With this (RFC 9110 section 10.1.1) the batch is only sent
+	// once the receiver begins to read.
+	req.Header.Set("Expect", "100-continue")
+	res, err := c.client.Do(req)
+	if err != nil {
+		return export.Posted{Why: err.Error()}
+	}
+	// An answer that came before the body was taken says nothing of it, whatever its status.
+	whole := body.end.Load()
+	said, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+	io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10))
+	res.Body.Close()
+	p := export.Posted{Status: res.StatusCode, RetryAfter: retryAfter(res.Header.Get("Retry-After"), time.Now()), Whole: whole}
+	if res.StatusCode >= 300 {
+		p.Why = fmt.Sprintf("%s: %s", res.Status, bytes.TrimSpace(said))
+	} else if !whole {
+		p.Why = res.Status + ", before the batch was taken"
+	}
+	return p
+}
+
+// retryAfter reads the header (RFC 9110 section 10.2.3): seconds or a date.
+func retryAfter(s string, now time.Time) time.Duration {
+	if n, err := strconv.Atoi(s); err == nil && n >= 0 {
+		return time.Duration(min(n, 1<<30)) * time.Second
+	}
+	if at, err := http.ParseTime(s); err == nil {
+		return max(0, at.Sub(now))
+	}
+	return 0
+}
+
+// setAside keeps an event where an operator finds it, a line each, before it is acknowledged. One that is written and
+// whose acknowledgement is lost comes twice; its key tells.
+func (c *Courier) setAside(a export.SetAside) export.ShipEvent {
+	f, err := os.OpenFile(c.o.SetAside, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return export.Stored{Err: err.Error()}
+	}
+	_, err = f.Write(append(a.Event.JSON, '\n'))
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return export.Stored{Err: err.Error()}
+	}
+	c.o.Say("the receiver does not take an event, it is set aside", "file", c.o.SetAside, "record", a.Event.Rec, "why", a.Why)
+	return export.Stored{}
+}
--- a/audit/judge.go
+++ b/audit/judge.go
@@ -28,6 +28,9 @@
 var Names = [6]string{1: "no request lost", 2: "no effect twice", 3: "drains kept", 4: "cold servers not pushed over",
 	5: "ceilings kept"}
 
+// Spread is how long a change of plan may take to all gateways, as docs/plans.md states it.
+const Spread = 2 * time.Second
+
 // Kept is how many of the five rules no breach was found of.
 func (v *Verdict) Kept() int {
 	broken := map[int]bool{}
@@ -421,13 +424,31 @@
 		units float64
 		at    time.Duration
 	}
+	// A change of plan is known to one gateway at once, to all within Spread: meanwhile the larger ceiling counts.
+	type change struct {
+		until    time.Duration
+		old, new decide.Plan
+	}
+	changes := map[string]change{}
 	stores := map[string]*store{}
 	passed := map[string]bool{}
 	for _, r := range j.recs {
+		if r.K == Terms {
+			changes[r.Member] = change{r.T + Spread, of[r.Member], plans[r.State]}
+			if old, p := of[r.Member], plans[r.State]; old.CeilingRate > 0 && (p.CeilingRate == 0 || p.CeilingRate > old.CeilingRate) {
+				of[r.Member] = p
+			}
+		}
 		if r.K != Arrive || passed[r.Request] {
 			continue
 		}
 		passed[r.Request] = true
+		if c, ok := changes[r.Member]; ok && r.T >= c.until {
+			delete(changes, r.Member)
+			if of[r.Member] = c.new; c.old.CeilingRate != c.new.CeilingRate {
+				delete(stores, r.Member)
+			}
+		}
 		p := of[r.Member]
 		if p.CeilingRate == 0 {
 			continue
--- a/audit/record.go
+++ b/audit/record.go
@@ -31,6 +31,7 @@
 	Withdrawn Kind = "withdrawn" // a node read that it is cancelled, or its connection ended
 	Cold      Kind = "cold"      // a node started; its capacity grows from a part to all
 	Fell      Kind = "fell"      // it fell over
+	Terms     Kind = "terms"     // a member is put on the plan State
 	Told      Kind = "told"      // the list wrote a node's state to a gateway
 	Process   Kind = "process"   // a gateway's process: up, term, kill, stop, cont, exit
 	Late      Kind = "late"      // the day's own process stood still
--- a/cmd/winghatch/day.go
+++ b/cmd/winghatch/day.go
@@ -135,12 +135,35 @@
 		return fail(err)
 	}
 	printDay(res)
-	if res.Verdict.Kept() < 5 {
+	printUse(res)
+	if res.Verdict.Kept() < 5 || res.Use != nil && len(res.Use.Breaches) > 0 {
 		return exit(1)
 	}
 	return nil
 }
 
+// printUse tells what the accounting had at the end.
+func printUse(res *day.Outcome) {
+	for _, r := range res.Reserved {
+		fmt.Printf("reserved for %s: %.6g of %.6g units used\n", r.Member, r.Used, r.Units)
+	}
+	u := res.Use
+	if u == nil {
+		return
+	}
+	fmt.Printf("exported: %d tries, %d at their answered size, %d at a guess (%d of them answered by no node), %.6g units, %.6g not covered\n",
+		u.Tries, u.Sized, u.Guessed, u.Unanswered, u.Units, u.Gaps)
+	fmt.Printf("kills of gateways: %d; events that the accounting was sent again: %d\n", res.Kills, res.Repeats)
+	if len(u.Breaches) == 0 {
+		fmt.Println("use exported exactly once: kept")
+		return
+	}
+	fmt.Println("use exported exactly once: BROKEN")
+	for _, b := range u.Breaches {
+		fmt.Println("  " + b)
+	}
+}
+
 func printDay(res *day.Outcome) {
 	st := res.Stats
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
--- a/config/config.go
+++ b/config/config.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -14,7 +15,9 @@
 	"winghatch/config/decode"
 	"winghatch/config/kdl"
 	"winghatch/decide"
+	"winghatch/export"
 	"winghatch/keys"
+	"winghatch/wal"
 )
 
 // Fleet is all settings that the gateways of a fleet share.
@@ -29,9 +32,21 @@
 	Capacity float64 // units a second that the fleet is stated to bear, for reservations; 0: not stated
 	ListKept string  // file that keeps the last list, %d stands for the rank; empty: none is kept
 	Caps     Caps
+	Export   Export
 	Log      Log
 }
 
+// Export says where use is told and how surely. Without a URL nothing is exported.
+type Export struct {
+	To         string // URL of the receiver
+	Durability wal.Mode
+	Every      time.Duration // of durability interval
+	Disk       int           // bytes that the log may take
+	Batch      int           // events
+	Timeout    time.Duration // of one batch
+	Unwritable export.Policy // what happens to calls while the log can't be written
+}
+
 // Gateway is one gateway's place.
 type Gateway struct {
 	Zone    string
@@ -138,7 +153,8 @@
 func defaults() *Fleet {
 	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10, Frame: 64 << 10,
 		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, Ping: 15 * time.Second, NodeConns: 4, NodeCalls: 256,
-		NodeIdle: 30 * time.Second}, Log: Log{Level: "info"}}
+		NodeIdle: 30 * time.Second}, Export: Export{Durability: wal.Interval, Every: 100 * time.Millisecond, Disk: 512 << 20,
+		Batch: 500, Timeout: 10 * time.Second}, Log: Log{Level: "info"}}
 	f.Decide.Limits = decide.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true,
 		MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond}
 	f.Decide.Safety = decide.Safety{AnswerSlack: 20 * time.Millisecond, DrainGrace: 250 * time.Millisecond}
@@ -199,6 +215,7 @@
 		"limits": func(at string, n *kdl.Node) { d.limits(at, n, &c.Limits) },
 		"safety": func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
 		"prices": func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
+		"export": func(at string, n *kdl.Node) { d.export(at, n, &f.Export) },
 		"caps":   func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
 	}, d.must("secret")...)
 	c.Gateways = len(f.Gateways)
@@ -225,6 +242,9 @@
 		}
 		f.Members = append(f.Members, p.m)
 	}
+	if f.Export.To != "" && f.Kept == "" && !d.draft {
+		d.Fail(n.Pos, "kept", "missing, export is given and has its log there")
+	}
 	if f.Kept != "" && !strings.Contains(f.Kept, "%d") && len(f.Gateways) > 1 {
 		d.Fail(n.Pos, "kept", "%q, want %%d in it, which stands for the rank: each gateway has its own", f.Kept)
 	}
@@ -355,6 +375,31 @@
 		"late-fail": decode.Number(&p.LateFail, 0, most), "counter": decode.Number(&p.Counter, 0, most)}, nil)
 }
 
+func (d *decoder) export(at string, n *kdl.Node, e *Export) {
+	d.Plain(at, n)
+	modes := map[string]wal.Mode{}
+	for _, m := range []wal.Mode{wal.Each, wal.Interval, wal.None} {
+		modes[m.String()] = m
+	}
+	d.Block(at, n, decode.Fields{"to": func(s decode.Setting) {
+		u, err := url.Parse(s.Value.Text)
+		if s.Value.Kind != kdl.String || err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			s.Wrong(`a URL such as "http://127.0.0.1:8090/use"`)
+			return
+		}
+		e.To = s.Value.Text
+	}, "durability": decode.Choice(&e.Durability, modes), "every": decode.Duration(&e.Every, time.Millisecond),
+		"disk": func(s decode.Setting) {
+			if decode.Size(&e.Disk)(s); e.Disk < leastDisk {
+				s.Wrong(fmt.Sprintf("%d bytes or more", leastDisk))
+			}
+		}, "batch": decode.Whole(&e.Batch, 1, 100000), "timeout": decode.Duration(&e.Timeout, time.Millisecond),
+		"unwritable": decode.Choice(&e.Unwritable, map[string]export.Policy{"refuse": export.Refuse, "serve": export.Serve})}, nil, "to")
+}
+
+// leastDisk is the smallest bound on the export's log: four segments.
+const leastDisk = 4 << 20
+
 func (d *decoder) caps(at string, n *kdl.Node, c *Caps) {
 	d.Plain(at, n)
 	d.Block(at, n, decode.Fields{"sessions": decode.Whole(&c.Sessions, 1, most), "open": decode.Whole(&c.Open, 1, most),
--- a/config/format.go
+++ b/config/format.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"winghatch/decide"
+	"winghatch/export"
 )
 
 // Format writes a fleet as a document that Parse reads back to the same fleet.
@@ -65,6 +66,17 @@
 	w.number("counter", p.Counter)
 	w.close()
 	w.caps(f.Caps)
+	if e := f.Export; e.To != "" {
+		w.open("export")
+		w.text("to", e.To)
+		w.set("durability", quote(e.Durability.String()))
+		w.duration("every", e.Every)
+		w.set("disk", strconv.Itoa(e.Disk))
+		w.set("batch", strconv.Itoa(e.Batch))
+		w.duration("timeout", e.Timeout)
+		w.set("unwritable", quote(map[export.Policy]string{export.Refuse: "refuse", export.Serve: "serve"}[e.Unwritable]))
+		w.close()
+	}
 	for _, g := range f.Gateways {
 		w.open("gateway")
 		w.text("zone", g.Zone)
--- a/day/run.go
+++ b/day/run.go
@@ -42,6 +42,11 @@
 	Attempts int
 	Records  int
 	Tapes    []string
+
+	Use      *audit.Use // of an accounting, if the fleet has one
+	Repeats  int        // events that it was sent again
+	Kills    int        // of gateways, by kill storms
+	Reserved []Reserved
 }
 
 // lowest and highest port that the player takes for what must come back at the same address: below the range
@@ -107,6 +112,12 @@
 	memory map[string]*node.Memory
 	meter  *node.Meter
 	ports  reserved
+
+	ledger   *ledger
+	killed   bool
+	kills    int
+	changes  uint64
+	reserved []Reserved
 }
 
 // slot is a node's place: what runs there comes and goes.
@@ -173,6 +184,9 @@
 			res.Attempts++
 		}
 	}
+	if err := p.closeBooks(recs, res); err != nil {
+		return nil, err
+	}
 	return res, nil
 }
 
@@ -191,6 +205,9 @@
 	}
 	f.List = p.listAt
 	f.ListKept = filepath.Join(p.o.Dir, "list-%d.json")
+	if err := p.openBooks(); err != nil {
+		return err
+	}
 	var addrs []string
 	for i := range f.Gateways {
 		g := &f.Gateways[i]
@@ -531,6 +548,9 @@
 }
 
 func (p *player) trouble(t Trouble) {
+	if p.trade(t) {
+		return
+	}
 	switch t.Kind {
 	case "ageing":
 		const steps = 20
--- a/day/script.go
+++ b/day/script.go
@@ -85,7 +85,18 @@
 	"slow":           "count nodes are size times slower",
 	"tenant_burst":   "count members order size times their usual",
 	"vanish":         "count nodes go silent and come back cold after the time",
-	"cut":            "the connections of count nodes are broken",
+	"kill_storm":     "gateways are killed at random moments, count times over the time, and start again at once",
+	"plan_change":    "count members go to the fleet's next plan, and back after the time",
+	"reserve":        "size units are set aside for each of count members, half of whose orders use them for the time",
+
+	"accounting_cut":    "the accounting keeps half of the batches and cuts the connection without an answer",
+	"accounting_down":   "the accounting is gone",
+	"accounting_early":  "the accounting answers half of the batches 200 before it has read them, and keeps nothing",
+	"accounting_kill":   "the accounting is killed count times over the time, and starts again",
+	"accounting_slow":   "the accounting takes size seconds for a batch",
+	"accounting_status": "the accounting answers half of the batches with the status size, and Retry-After",
+
+	"cut": "the connections of count nodes are broken",
 }
 
 // Parse reads a day's file; file is only named in errors.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,13 @@
 	if g.loop.books, err = openBooks(g.loop, bo); err != nil {
 		return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
 	}
+	if f.Export.To != "" {
+		oo := OwedOptions{Export: f.Export, Fleet: f.Name, Gateway: o.Rank, Dir: f.Dir(o.Rank), FS: o.FS, Life: uint64(g.epoch), Wall: bo.Wall, Log: g.log}
+		if g.loop.owed, err = openOwed(g.loop, oo); err != nil {
+			g.loop.books.close()
+			return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
+		}
+	}
 	g.loop.limit, g.loop.tamper = int64(f.Caps.Open), o.Tamper
 	ok = true
 	g.run(ln, sl)
@@ -186,6 +193,9 @@
 		goes(func() { g.state.Serve(sl) })
 	}
 	goes(func() { g.front.Keep(ctx) })
+	if g.loop.owed != nil {
+		goes(func() { g.loop.owed.run(ctx) })
+	}
 	if file := g.fleet.Gateways[g.rank].Changes; file != "" {
 		goes(func() { g.watch(ctx, file) })
 	}
@@ -233,9 +243,12 @@
 		g.state.Close()
 	}
 	g.loop.Stop()
-	g.loop.books.close()
 	g.pool.Close()
 	g.wg.Wait()
+	g.loop.books.close()
+	if g.loop.owed != nil {
+		g.loop.owed.close()
+	}
 }
 
 // State is what an operator is told.
@@ -264,6 +277,7 @@
 	Changes      int            `json:"changes"` // in the book of plans
 	ChangesSum   string         `json:"changes_sum"`
 	Reservations []reserve.View `json:"reservations,omitempty"`
+	Export       *ExportState   `json:"export,omitempty"`
 	BookLog      string         `json:"book_log,omitempty"` // why the books' log can't be written
 }
 
@@ -281,6 +295,9 @@
 	g.loop.Ask(func() {
 		l := g.loop
 		s.Queue, s.Turns, s.Core = l.q.len(), l.turns, l.core.View()
+		if l.owed != nil {
+			s.Export = l.owed.state()
+		}
 		n, sum := l.books.book.Version()
 		s.Changes, s.ChangesSum = n, strconv.FormatUint(sum, 16)
 		s.Reservations, s.BookLog = l.books.ledger.Views(), l.books.failure
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"winghatch/decide"
+	"winghatch/export"
 	"winghatch/front"
 	"winghatch/plans"
 	"winghatch/reserve"
@@ -76,6 +77,10 @@
 	over bool
 	call *upstream.Call
 
+	owe    export.ID // its name at the export's desk; 0: nothing is exported of it
+	held   bool      // it is not handed to the nodes' connections yet, as its intent is not durable
+	denied bool      // it never will be; its end is on its way
+
 	due   time.Duration // its time-out; see timers
 	no    uint64
 	index int
@@ -126,6 +131,7 @@
 	limit   int64 // calls open at once
 	tamper  Tamper
 	books   *books // nil: no changes in service
+	owed    *owed  // nil: nothing is exported
 	done    chan struct{}
 	quit    chan struct{}
 }
@@ -268,6 +274,12 @@
 		} else {
 			l.log.Info("the books' log works again")
 		}
+	case inOwed:
+		l.owed.durable(in.rec)
+	case inOwedLog:
+		l.owed.logFailed(in.err)
+	case inAcked:
+		l.owed.acked(in.rec)
 	case inUnreserve:
 		l.books.toLedger(reserve.Ended{ID: in.id})
 	}
@@ -286,6 +298,13 @@
 // abandon gives an attempt up. One that provably never left did not run, whatever the clock says. One whose
 // end is on its way through the queue is left to that: what has come counts as come.
 func (l *Loop) abandon(t *try, as decide.Outcome) (upstream.Result, bool) {
+	switch {
+	case t.held:
+		t.held = false
+		return upstream.Result{Outcome: decide.NoConnection}, true
+	case t.denied:
+		return upstream.Result{}, false
+	}
 	switch l.nodes.Abandon(t.call) {
 	case upstream.NeverLeft:
 		return upstream.Result{Outcome: decide.NoConnection}, true
@@ -298,6 +317,9 @@
 func (l *Loop) request(c *front.Call) {
 	o := &open{Call: c, at: l.now}
 	l.opens[c.ID] = o
+	if l.refuseUncovered(o) {
+		return
+	}
 	if c.Reserved {
 		if l.books == nil {
 			l.final(o, front.Final{Kind: front.Refused, Reason: string(reserve.None)})
@@ -340,6 +362,9 @@
 	}
 	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
 		Metered: res.Metered, Report: res.Report, Done: o.finished}
+	if t.owe != 0 {
+		l.owed.settle(t, res)
+	}
 	if o.Reserved {
 		o.settle(res, l.cfg.SettledLater)
 	}
@@ -478,6 +503,10 @@
 	t.call = &upstream.Call{Node: a.Server, Method: o.Class, Params: o.params(t.n, left),
 		Done: func(r upstream.Result) { l.q.post(inEnd{t, r}) }}
 	l.timers.timeOut(t, l.now+left)
+	if l.owed != nil {
+		l.owed.intend(t)
+		return
+	}
 	l.nodes.Send(t.call)
 }
 
--- /dev/null
+++ b/gateway/owed.go
@@ -0,0 +1,291 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"path/filepath"
+	"sync/atomic"
+
+	"winghatch/accounting"
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/export"
+	"winghatch/front"
+	"winghatch/upstream"
+	"winghatch/wal"
+)
+
+// owed carries out what the export's desk wants done, for the loop that owns it: no byte of a try leaves before its
+// intent is durable, and its settlement follows its end.
+type owed struct {
+	l       *Loop
+	desk    *export.Desk
+	log     *wal.Log
+	courier *accounting.Courier
+	wall    func() int64
+	slog    *slog.Logger
+	bound   int64
+
+	tries    map[export.ID]*try
+	next     export.ID
+	keepFrom atomic.Uint64 // first record that is still needed
+	snapAt   uint64
+	snaps    chan struct{}
+	failure  string
+	closed   bool
+	Holes    int
+	Torn     int64
+}
+
+// Inputs of the loop from the export's log and its courier.
+type (
+	inOwed    struct{ rec uint64 } // durable up to there
+	inOwedLog struct{ err error }
+	inAcked   struct{ rec uint64 }
+)
+
+const (
+	// owedSnapshot is how many records bring a snapshot.
+	owedSnapshot = 50000
+	// owedRoom is what is kept free of the bound for the settlements of tries that are out, beside so much for each.
+	owedRoom    = 512 << 10
+	owedRoomTry = 1 << 10
+)
+
+// OwedOptions tell a gateway's export who it is.
+type OwedOptions struct {
+	Export  config.Export
+	Fleet   string
+	Gateway int
+	Dir     string
+	FS      wal.FS
+	Life    uint64
+	Wall    func() int64
+	Log     *slog.Logger
+}
+
+// OpenDesk recovers a desk from its log and begins a life. post is told what Durable and Failed of the log are.
+func OpenDesk(o OwedOptions, keep func() uint64, durable func(uint64), failed func(error)) (*export.Desk, *wal.Log, *wal.Recovery, error) {
+	d := export.NewDesk(export.DeskSettings{Policy: o.Export.Unwritable, Life: o.Life})
+	bound := int64(o.Export.Disk)
+	log, rec, err := wal.Open(filepath.Join(o.Dir, "use"), wal.Options{Mode: o.Export.Durability, Every: o.Export.Every, Bound: bound,
+		Segment: min(16<<20, max(256<<10, bound/16)), FS: o.FS, Keep: keep, Durable: durable, Failed: failed},
+		func(r *wal.Recovery) error {
+			if r.Snapshot == nil {
+				return nil
+			}
+			return d.RestoreSnapshot(r.Snapshot)
+		}, func(r wal.Record) error { return d.Restore(r.No, r.Payload) })
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	for _, h := range rec.Holes {
+		o.Log.Error("the export's log has a hole", "dir", o.Dir, "hole", h.String())
+	}
+	if rec.Torn > 0 || len(rec.Snapshots) > 0 {
+		o.Log.Warn("the export's log was cut", "dir", o.Dir, "bytes", rec.Torn, "snapshots", rec.Snapshots)
+	}
+	for _, a := range d.Begin(o.Wall()) {
+		// A log that takes none of it now keeps the intents, which the next life finds.
+		if _, err := log.Append(a.(export.Append).Payload); err != nil {
+			o.Log.Error("the export's log takes no settlements of former lives", "err", err)
+			break
+		}
+	}
+	if n := d.Counts.Orphans; n > 0 {
+		o.Log.Warn("tries of a former life are exported at their guesses", "tries", n)
+	}
+	return d, log, rec, nil
+}
+
+// SetAsideFile is where events lie that the receiver will not take.
+func SetAsideFile(dir string) string { return filepath.Join(dir, "use-set-aside.jsonl") }
+
+func openOwed(l *Loop, o OwedOptions) (*owed, error) {
+	w := &owed{l: l, wall: o.Wall, slog: o.Log, bound: int64(o.Export.Disk), tries: map[export.ID]*try{}, snaps: make(chan struct{}, 1)}
+	var err error
+	var rec *wal.Recovery
+	w.desk, w.log, rec, err = OpenDesk(o, w.keepFrom.Load, func(no uint64) { l.q.post(inOwed{no}) },
+		func(err error) { l.q.post(inOwedLog{err}) })
+	if err != nil {
+		return nil, err
+	}
+	w.Holes, w.Torn, w.snapAt = len(rec.Holes), rec.Torn, rec.Covered
+	w.keepFrom.Store(w.desk.Acked() + 1)
+	w.courier = accounting.New(accounting.Options{Log: w.log, URL: o.Export.To, Fleet: o.Fleet, Gateway: o.Gateway,
+		Behind: w.desk.Acked(), Batch: o.Export.Batch, Timeout: o.Export.Timeout, SetAside: SetAsideFile(o.Dir), Seed: int64(o.Life),
+		Acked: func(rec uint64) { l.q.post(inAcked{rec}) }, Say: func(text string, args ...any) { o.Log.Error(text, args...) }})
+	return w, nil
+}
+
+// run carries to the receiver until the context ends.
+func (w *owed) run(ctx context.Context) { w.courier.Run(ctx) }
+
+func (w *owed) room() bool {
+	return w.log.Size()+owedRoom+owedRoomTry*int64(w.desk.Owed()) < w.bound
+}
+
+// refuses reports whether a call is refused at once, as nothing of it could be covered.
+func (w *owed) refuses() bool { return w.desk.Closed(w.room()) }
+
+func (w *owed) do(acts []export.DeskAction) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case export.Append:
+			no, err := w.log.Append(a.Payload)
+			if a.ID == 0 {
+				if err != nil && !errors.Is(err, wal.ErrFull) {
+					w.slog.Error("the export's log takes nothing", "err", err)
+				}
+				continue
+			}
+			ev := export.Appended{ID: a.ID, Rec: no}
+			if err != nil {
+				ev.Failed = err.Error()
+			}
+			w.do(w.desk.Handle(ev))
+		case export.Release:
+			if t := w.tries[a.ID]; t != nil && t.held {
+				t.held = false
+				w.l.nodes.Send(t.call)
+			}
+		case export.Deny:
+			if t := w.tries[a.ID]; t != nil && t.held {
+				t.held, t.denied = false, true
+				w.l.q.post(inEnd{t, upstream.Result{Outcome: decide.NoConnection}}) // it provably never left
+			}
+		}
+	}
+}
+
+// intend holds a try back until it may leave.
+func (w *owed) intend(t *try) {
+	w.next++
+	t.owe, t.held = w.next, true
+	w.tries[t.owe] = t
+	o := t.o
+	w.do(w.desk.Handle(export.Intend{ID: t.owe, Room: w.room(), Try: export.Try{Request: o.ID, Attempt: t.n, Member: o.Member,
+		Plan: w.plan(o), Class: o.Class, Node: t.node, Units: o.Units, Reserved: o.Reserved}}))
+}
+
+// plan is the one that a call is served under, which changes in service may have made another than the settings'.
+func (w *owed) plan(o *open) string {
+	if b := w.l.books; b != nil {
+		if p := b.book.Stands(o.Member).Name; p != "" {
+			return p
+		}
+	}
+	return o.Plan
+}
+
+// settle ends a try.
+func (w *owed) settle(t *try, res upstream.Result) {
+	delete(w.tries, t.owe)
+	s := export.Settle{ID: t.owe, Used: t.o.Units, Wall: w.wall()}
+	switch res.Outcome {
+	case decide.OK:
+		if s.Outcome = export.Sized; w.l.cfg.SettledLater && res.TrueUnits > 0 {
+			s.Used = res.TrueUnits
+		}
+	case decide.Error:
+		s.Outcome = export.Failed
+	case decide.Full, decide.NoConnection, decide.Moot:
+		s.Outcome = export.Skipped
+	default:
+		s.Outcome = export.Silent
+	}
+	w.do(w.desk.Handle(s))
+}
+
+func (w *owed) durable(rec uint64) {
+	w.do(w.desk.Handle(export.Durable{Rec: rec}))
+	w.courier.More()
+	if rec-w.snapAt >= owedSnapshot {
+		w.snapshot()
+	}
+}
+
+func (w *owed) logFailed(err error) {
+	if w.failure = ""; err != nil {
+		w.failure = err.Error()
+		w.slog.Error("the export's log can't be written", "err", err)
+	} else {
+		w.slog.Info("the export's log works again")
+	}
+	w.do(w.desk.Handle(export.Broken{Why: w.failure}))
+}
+
+func (w *owed) acked(rec uint64) {
+	w.do(w.desk.Handle(export.Acked{Rec: rec}))
+	if behind := rec + 1 - w.keepFrom.Load(); behind >= owedSnapshot || behind > 0 && !w.room() {
+		w.snapshot()
+	}
+}
+
+// snapshot keeps the desk's state and lets go of what it and the receiver no longer need.
+func (w *owed) snapshot() {
+	no := w.log.Next() - 1
+	if no == 0 {
+		return
+	}
+	select {
+	case w.snaps <- struct{}{}:
+	default:
+		return // one is under way
+	}
+	state := w.desk.Snapshot()
+	w.keepFrom.Store(w.desk.Acked() + 1)
+	w.snapAt = no
+	go func() {
+		defer func() { <-w.snaps }()
+		if err := w.log.Snapshot(no, state); err != nil {
+			w.slog.Error("the export's snapshot failed", "err", err)
+		}
+	}()
+}
+
+func (w *owed) close() {
+	if !w.closed {
+		w.closed = true
+		w.snaps <- struct{}{}
+		if err := w.log.Close(); err != nil {
+			w.slog.Error("the export's log", "err", err)
+		}
+	}
+}
+
+// ExportState is what an operator is told of the export.
+type ExportState struct {
+	Life     uint64            `json:"life"`
+	Open     int               `json:"open"` // tries without a settlement in the log
+	Records  uint64            `json:"records"`
+	Acked    uint64            `json:"acked"` // the receiver has all up to there
+	Bytes    int64             `json:"bytes"`
+	Bound    int64             `json:"bound"`
+	Refusing bool              `json:"refusing"`
+	Failure  string            `json:"failure,omitempty"`
+	Desk     export.Counts     `json:"desk"`
+	Ship     export.ShipCounts `json:"ship"`
+	Lost     uint64            `json:"lost_records"`
+	Holes    int               `json:"holes"`
+	Torn     int64             `json:"torn_bytes"`
+}
+
+func (w *owed) state() *ExportState {
+	return &ExportState{Life: w.desk.Life(), Open: w.desk.Owed(), Records: w.log.DurableTo(), Acked: w.desk.Acked(), Bytes: w.log.Size(),
+		Bound: w.bound, Refusing: w.refuses(), Failure: w.failure, Desk: w.desk.Counts, Ship: w.courier.Counts(), Lost: w.courier.Lost.Load(),
+		Holes: w.Holes, Torn: w.Torn}
+}
+
+// uncovered is the reason of refusals while nothing can be covered.
+const uncovered = "export"
+
+func (l *Loop) refuseUncovered(o *open) bool {
+	if l.owed == nil || !l.owed.refuses() {
+		return false
+	}
+	l.final(o, front.Final{Kind: front.Refused, Reason: uncovered, RetryAfter: l.cfg.Limits.MaxRetryAfter})
+	l.forget(o)
+	return true
+}
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -127,7 +127,8 @@
 	p       params
 	class   string
 	work    time.Duration
-	dropped bool // withdrawn while it waited
+	told    float64 // units of its answer
+	dropped bool    // withdrawn while it waited
 	gone    bool
 }
 
@@ -302,7 +303,8 @@
 
 func (n *Node) note(k audit.Kind, j *job) {
 	n.o.Log.Add(audit.Record{K: k, Node: n.addr, Zone: n.o.Zone, Cell: n.o.Cell, Request: j.p.Request, Attempt: j.p.Attempt,
-		Class: j.class, Key: j.p.Key, Try: j.p.Work.Try, Member: j.p.Member, Work: j.work})
+		Class: j.class, Key: j.p.Key, Try: j.p.Work.Try, Member: j.p.Member, Work: j.work,
+		Units: j.told})
 }
 
 // cost is the work of a call: gamma-like around the mean, so that few are very short.
@@ -384,6 +386,7 @@
 	if j.p.Work.Units > 0 {
 		units = j.p.Work.Units
 	}
+	j.told = units
 	b := strconv.AppendFloat([]byte(`{"units":`), units, 'g', -1, 64)
 	if n.o.Meter != nil {
 		b = strconv.AppendInt(append(b, `,"metered":`...), int64(n.o.Meter.told(j.p.Member)), 10)
--- a/standin/school/school.go
+++ b/standin/school/school.go
@@ -57,6 +57,7 @@
 type Trouble struct {
 	Burst  float64            // times the usual rate; 0: 1
 	Weight map[string]float64 // times a member's weight
+	Marked map[string]bool    // members half of whose tries use reserved units
 	Gather map[string]bool    // members that use only the first of their gateways
 }
 
@@ -291,8 +292,11 @@
 	}
 	label := fmt.Sprintf("%d.%d", o.no, n)
 	got := make(chan answer, 1)
-	p := fmt.Appendf(nil, `{"units":%d,"deadline_ms":%.3f,"at_ms":%.3f,"key":"%s","again":%t,"work":{"try":"%s","true_units":%d}}`,
-		o.units, limit.Seconds()*1000, float64(s.o.Log.Now())/1e6, o.key, n > 0, label, o.truth)
+	s.mu.Lock()
+	marked := s.t.Marked[o.member.Name] && o.no%2 == 0
+	s.mu.Unlock()
+	p := fmt.Appendf(nil, `{"reserved":%t,"units":%d,"deadline_ms":%.3f,"at_ms":%.3f,"key":"%s","again":%t,"work":{"try":"%s","true_units":%d}}`,
+		marked, o.units, limit.Seconds()*1000, float64(s.o.Log.Now())/1e6, o.key, n > 0, label, o.truth)
 	rec := audit.Record{K: audit.Call, Gateway: o.rank, Session: x.name, Try: label, Member: o.member.Name, Class: o.class.Name,
 		Key: o.key, Units: float64(o.units), T: s.o.Log.Now()}
 	rec.Deadline = rec.T + limit
