--- /dev/null
+++ b/accounting/courier_test.go
@@ -0,0 +1,189 @@
+package accounting_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/accounting"
+	"winghatch/export"
+	standin "winghatch/standin/accounting"
+	"winghatch/wal"
+)
+
+func eventually(t testing.TB, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("never: " + what)
+}
+
+// owe fills a log with the settled tries of one life, by the desk itself.
+func owe(t testing.TB, l *wal.Log, n int) {
+	d := export.NewDesk(export.DeskSettings{Life: 5})
+	do := func(acts []export.DeskAction) {
+		for _, a := range acts {
+			if a, ok := a.(export.Append); ok {
+				no, err := l.Append(a.Payload)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if a.ID != 0 {
+					d.Handle(export.Appended{ID: a.ID, Rec: no})
+				}
+			}
+		}
+	}
+	do(d.Begin(1))
+	for i := 1; i <= n; i++ {
+		id := export.ID(i)
+		do(d.Handle(export.Intend{ID: id, Room: true, Try: export.Try{Request: fmt.Sprint("r-", i, "-"), Member: "m", Units: 1}}))
+		do(d.Handle(export.Settle{ID: id, Outcome: export.Sized, Used: 2}))
+	}
+	if err := l.Sync(10 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+type rig struct {
+	t     *testing.T
+	dir   string
+	log   *wal.Log
+	recv  *standin.Receiver
+	acked chan uint64
+}
+
+func newRig(t *testing.T, n int) *rig {
+	r := &rig{t: t, dir: t.TempDir(), acked: make(chan uint64, 10000)}
+	var err error
+	if r.log, _, err = wal.Open(filepath.Join(r.dir, "use"), wal.Options{}, nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	if r.recv, err = standin.Start("127.0.0.1:0", filepath.Join(r.dir, "events")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.log.Close(); r.recv.Stop() })
+	owe(t, r.log, n)
+	return r
+}
+
+func (r *rig) run(o accounting.Options) *accounting.Courier {
+	o.Log, o.URL, o.Fleet, o.Gateway = r.log, r.recv.URL(), "f", 1
+	o.SetAside = filepath.Join(r.dir, "aside")
+	o.Acked = func(rec uint64) { r.acked <- rec }
+	o.Say = func(text string, args ...any) { r.t.Log(append([]any{text}, args...)...) }
+	if o.Batch == 0 {
+		o.Batch = 10
+	}
+	if o.Timeout == 0 {
+		o.Timeout = 2 * time.Second
+	}
+	c := accounting.New(o)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	r.t.Cleanup(func() { stop(); <-done })
+	return c
+}
+
+// whole checks that each try is there once.
+func (r *rig) whole(n int) {
+	r.t.Helper()
+	eventually(r.t, "all is there", func() bool { return len(r.recv.Events()) >= n })
+	for i, e := range r.recv.Events() {
+		if e.ID != fmt.Sprint(i+1) && n > 0 {
+			r.t.Fatalf("event %d has the number %s", i+1, e.ID)
+		}
+	}
+	if got := len(r.recv.Events()); got != n {
+		r.t.Errorf("%d events, want %d", got, n)
+	}
+}
+
+// TestReceiversFaults plays each fault for a while; then all is there once, in order.
+func TestReceiversFaults(t *testing.T) {
+	for name, trouble := range map[string]standin.Trouble{
+		"500": {Status: 500}, "429 with Retry-After": {Status: 429, RetryAfter: "0"}, "a redirect": {Status: 302}, "404": {Status: 404},
+		"keeps and cuts": {Cut: true}, "answers before it reads": {Early: true}, "slow": {Slow: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 35)
+			r.recv.Set(func(x *standin.Trouble) { *x = trouble })
+			c := r.run(accounting.Options{Timeout: 200 * time.Millisecond})
+			eventually(t, "it is tried again", func() bool { return c.Counts().Again >= 2 })
+			if len(r.acked) > 0 {
+				t.Error("acknowledged without an answer")
+			}
+			if strings.HasPrefix(name, "answers before") && len(r.recv.Events()) > 0 {
+				t.Error("events are there")
+			}
+			r.recv.Set(func(x *standin.Trouble) { *x = standin.Trouble{} })
+			r.whole(35)
+			if name == "keeps and cuts" && r.recv.Repeats == 0 {
+				t.Error("nothing came twice")
+			}
+		})
+	}
+}
+
+// TestSetAside keeps the one event that the receiver refuses where an operator finds it, and holds up no other.
+func TestSetAside(t *testing.T) {
+	r := newRig(t, 35)
+	r.recv.Set(func(x *standin.Trouble) { x.Reject = "r-17-" })
+	c := r.run(accounting.Options{})
+	eventually(t, "all others are there", func() bool { return len(r.recv.Events()) == 34 })
+	eventually(t, "it is said", func() bool { return c.Counts().SetAside == 1 })
+	raw, err := os.ReadFile(filepath.Join(r.dir, "aside"))
+	if err != nil || bytes.Count(raw, []byte("\n")) != 1 || !strings.Contains(string(raw), `"id":"17"`) {
+		t.Errorf("%s %v", raw, err)
+	}
+}
+
+// TestReceiverKilled stops the receiver in the middle, over and over, with its file left behind.
+func TestReceiverKilled(t *testing.T) {
+	r := newRig(t, 200)
+	r.recv.Set(func(x *standin.Trouble) { x.Slow = 2 * time.Millisecond })
+	addr := r.recv.Addr()
+	r.run(accounting.Options{Batch: 4})
+	for i := range 6 {
+		eventually(t, "some more are there", func() bool { return len(r.recv.Events()) > 20*i })
+		r.recv.Stop()
+		var err error
+		if r.recv, err = standin.Start(addr, filepath.Join(r.dir, "events")); err != nil {
+			t.Fatal(err)
+		}
+		r.recv.Set(func(x *standin.Trouble) { x.Slow = 2 * time.Millisecond })
+	}
+	r.whole(200)
+}
+
+// TestHole exports what is left of a log of which a part is damaged, and says how much is lost.
+func TestHole(t *testing.T) {
+	r := newRig(t, 30)
+	r.log.Close()
+	files, _ := filepath.Glob(filepath.Join(r.dir, "use", "*.log"))
+	b, _ := os.ReadFile(files[0])
+	at := len(b) / 2
+	binary.LittleEndian.PutUint64(b[at:], ^binary.LittleEndian.Uint64(b[at:]))
+	os.WriteFile(files[0], b, 0o600)
+	l, rec, err := wal.Open(filepath.Join(r.dir, "use"), wal.Options{}, nil, nil)
+	if err != nil || len(rec.Holes) != 1 {
+		t.Fatalf("%+v %v", rec, err)
+	}
+	r.log = l
+	c := r.run(accounting.Options{Empty: true})
+	eventually(t, "the rest is there", func() bool { return len(r.recv.Events()) >= 29 })
+	if c.Lost.Load() == 0 || len(r.recv.Events()) > 30 {
+		t.Errorf("%d records said to be lost, %d events", c.Lost.Load(), len(r.recv.Events()))
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,16 +15,19 @@
 	"github.com/alecthomas/kong"
 
 	"winghatch/config"
+	"winghatch/export"
 	"winghatch/nodelist"
+	"winghatch/standin/accounting"
 	"winghatch/standin/list"
 	"winghatch/standin/node"
 	"winghatch/standin/school"
 )
 
 type command struct {
-	Node   nodeCmd   `cmd:"" help:"Run an emulated node."`
-	List   listCmd   `cmd:"" help:"Run a list of nodes; lines on standard input change it: NODE serving|draining|gone."`
-	School schoolCmd `cmd:"" help:"Order from a fleet's gateways and print an account each second."`
+	Node       nodeCmd       `cmd:"" help:"Run an emulated node."`
+	List       listCmd       `cmd:"" help:"Run a list of nodes; lines on standard input change it: NODE serving|draining|gone."`
+	Accounting accountingCmd `cmd:"" help:"Take exported use, keep each event once in a file, and print an account each second."`
+	School     schoolCmd     `cmd:"" help:"Order from a fleet's gateways and print an account each second."`
 }
 
 func main() {
@@ -53,6 +57,45 @@
 	Tail   map[string]float64 `help:"CLASS=FACTOR: one of 50 calls of the class costs so many times the usual."`
 }
 
+type accountingCmd struct {
+	Listen     string        `required:"" help:"host:port on loopback."`
+	File       string        `required:"" help:"Keeps the events."`
+	Status     int           `help:"Answer this and keep nothing; 0: take all."`
+	RetryAfter string        `help:"With it."`
+	Slow       time.Duration `help:"Take so long for a batch."`
+}
+
+func (c *accountingCmd) Run() error {
+	r, err := accounting.Start(c.Listen, c.File)
+	if err != nil {
+		return err
+	}
+	defer r.Stop()
+	r.Set(func(t *accounting.Trouble) { t.Status, t.RetryAfter, t.Slow = c.Status, c.RetryAfter, c.Slow })
+	fmt.Println("takes batches at", r.URL())
+	ctx, stop := interrupted()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+		units, guessed := map[string]float64{}, 0
+		evs := r.Events()
+		for _, e := range evs {
+			var u export.Use
+			if e.Type == export.TypeUse && json.Unmarshal(e.Data, &u) == nil {
+				units[u.Member] += u.Units
+				if u.Guess {
+					guessed++
+				}
+			}
+		}
+		fmt.Printf("events %d, guessed %d, units %v\n", len(evs), guessed, units)
+	}
+}
+
 func (c *nodeCmd) Run() error {
 	f, err := config.Load(c.Config)
 	if err != nil {
--- a/cmd/winghatch/gateway.go
+++ b/cmd/winghatch/gateway.go
@@ -19,6 +19,7 @@
 
 	"winghatch/config"
 	"winghatch/decide"
+	"winghatch/export"
 	"winghatch/gateway"
 	"winghatch/keys"
 	"winghatch/tape"
@@ -90,6 +91,17 @@
 	}
 	fmt.Printf("%s: fleet %q: %d gateways, %d classes, %d plans, %d members\n", c.File, f.Name, len(f.Gateways),
 		len(f.Decide.Classes), len(f.Decide.Plans), len(f.Members))
+	if f.Kept == "" {
+		fmt.Println("kept: not set: plan changes and reservations end with the gateways' processes")
+	} else {
+		fmt.Printf("kept: %s and so on for each gateway\n", f.Dir(0))
+	}
+	if e := f.Export; e.To == "" {
+		fmt.Println("export: not set: use is told to nobody")
+	} else {
+		fmt.Printf("export: to %s, durability %v, %d bytes of disk, unwritable: %s\n", e.To, e.Durability, e.Disk,
+			map[export.Policy]string{export.Refuse: "refuse", export.Serve: "serve, uncovered"}[e.Unwritable])
+	}
 	return nil
 }
 
@@ -194,6 +206,14 @@
 				time.Unix(0, v.To).UTC().Format(time.RFC3339), v.Open, v.Free, v.Drawn, v.Out, v.Spent, v.Given)
 		}
 	}
+	if e := s.Export; e != nil {
+		fmt.Fprintf(w, "\nexport\tlife %d\topen tries %d\trecords %d\treceiver has %d\t%d of %d bytes\trefusing %t\t%s\n", e.Life, e.Open,
+			e.Records, e.Acked, e.Bytes, e.Bound, e.Refusing, e.Failure)
+		fmt.Fprintf(w, "  sent\t%d events\t%d batches\t%d again\t%d set aside\tlast answer %d %s\n", e.Ship.Sent, e.Ship.Batches, e.Ship.Again,
+			e.Ship.SetAside, e.Ship.LastStatus, e.Ship.LastWhy)
+		fmt.Fprintf(w, "  not covered\t%d tries\t%.6g units\tdenied %d\torphans %d\tlost records %d\n", e.Desk.Uncovered, e.Desk.UncoveredUnits,
+			e.Desk.Denied, e.Desk.Orphans, e.Lost)
+	}
 	if len(s.Core.Silent) > 0 {
 		fmt.Fprintf(w, "\nhomes that are not asked for now\t%v\n", s.Core.Silent)
 	}
--- a/cmd/winghatch/main.go
+++ b/cmd/winghatch/main.go
@@ -21,6 +21,7 @@
 	Audit   auditCmd   `cmd:"" help:"Judge again what a day left in a folder."`
 	Plan    planCmd    `cmd:"" help:"Change plans in service, show them and what became of changes."`
 	Reserve reserveCmd `cmd:"" help:"Set units aside for a member's marked calls."`
+	Export  exportCmd  `cmd:"" help:"Export the use that a gateway owes which does not run."`
 	Key     keyCmd     `cmd:"" help:"Make keys of members and secrets of fleets."`
 }
 
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -315,6 +315,34 @@
 	}
 }
 
+// TestExactlyOnce kills gateways and the accounting at a dozen random moments: every try is at the accounting once.
+func TestExactlyOnce(t *testing.T) {
+	for name, rest := range map[string]string{
+		"kills": `trouble kill_storm at="200ms" for="6s" count=12; trouble accounting_kill at="500ms" for="5s" count=4
+			trouble accounting_cut at="1s" for="2s"; trouble accounting_early at="4s" for="1s"`,
+		"changes": `trouble plan_change at="500ms" for="3s" count=2; trouble reserve at="1s" for="4s" count=2 size=60
+			trouble balancer_roll at="2s" for="2s"; trouble accounting_down at="1s" for="2s"; trouble drain at="3s" for="1s" count=1`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, err := Parse("test", []byte("day test { like export-kills; length \"7s\"; list-lag \"50ms\"; "+rest+" }"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			res := play(t, s, "")
+			if res.Verdict.Kept() < 5 || len(res.Use.Breaches) > 0 || res.Use.Sized < 100 {
+				t.Errorf("%s\n%+v", res.Verdict, res.Use)
+			}
+			if name == "kills" && (res.Kills != 12 || res.Repeats == 0) {
+				t.Errorf("%d kills, %d repeats", res.Kills, res.Repeats)
+			}
+			if name == "changes" && (len(res.Reserved) != 2 || res.Reserved[0].Used+res.Reserved[1].Used == 0) {
+				t.Errorf("%+v", res.Reserved)
+			}
+		})
+	}
+}
+
 // TestPlantedBreaches plays days with gateways made to break a rule: the judge finds it, and no day is accused
 // by another rule than it breaks.
 func TestPlantedBreaches(t *testing.T) {
--- /dev/null
+++ b/export/export_test.go
@@ -0,0 +1,475 @@
+package export
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fault is planted to try the model.
+type fault int
+
+const (
+	none     fault = iota
+	lostSync       // what is told to be durable is lost by a crash
+	sameLife       // a new life takes the number of the former: keys come again
+	noIntent       // a try leaves without its intent
+)
+
+// office is a desk over a log, with nodes and a receiver, that crashes.
+type office struct {
+	fault   fault
+	rng     *rand.Rand
+	policy  Policy
+	desk    *Desk
+	log     [][]byte // records; the number of the first is 1
+	durable int
+	synced  int // what a crash leaves
+	snap    []byte
+	snapTo  int
+	broken  bool
+	full    bool
+	next    ID
+	names   map[ID]string
+	out     map[ID]bool    // at the nodes
+	left    map[string]int // tries of which bytes left: by name, 1 covered, 2 let pass uncovered, 3 with an intent that was not durable
+	denied  map[string]bool
+	answers map[string]float64 // settled at that size, durably
+	atNode  map[string]float64
+	seen    map[string]string // receiver: key -> name
+	byName  map[string]Use
+	twice   []string
+	gapped  uint64
+	tries   int
+}
+
+func newOffice(seed int64, p Policy, f fault) *office {
+	o := &office{fault: f, rng: rand.New(rand.NewSource(seed)), policy: p, names: map[ID]string{}, out: map[ID]bool{}, left: map[string]int{},
+		denied: map[string]bool{}, answers: map[string]float64{}, atNode: map[string]float64{}, seen: map[string]string{}, byName: map[string]Use{}}
+	o.start()
+	return o
+}
+
+func (o *office) start() {
+	life := uint64(0)
+	o.desk = NewDesk(DeskSettings{Policy: o.policy, Life: life})
+	if o.snap != nil {
+		if err := o.desk.RestoreSnapshot(o.snap); err != nil {
+			panic(err)
+		}
+	}
+	for i := o.snapTo; i < len(o.log); i++ {
+		if err := o.desk.Restore(uint64(i+1), o.log[i]); err != nil {
+			panic(err)
+		}
+	}
+	if o.fault == sameLife {
+		o.desk.lastOld = 6
+	}
+	o.broken, o.full = false, false
+	o.do(o.desk.Begin(7))
+	o.sync()
+}
+
+func (o *office) do(acts []DeskAction) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Append:
+			ev := Appended{ID: a.ID}
+			if o.full || o.broken {
+				ev.Failed = "no room"
+			} else {
+				o.log = append(o.log, a.Payload)
+				ev.Rec = uint64(len(o.log))
+			}
+			if a.ID != 0 {
+				o.do(o.desk.Handle(ev))
+			}
+			if o.fault == noIntent && len(a.Payload) > 0 && a.Payload[0] == recIntent && ev.Failed == "" {
+				o.log[len(o.log)-1] = []byte{recLife, 1}
+			}
+		case Release:
+			o.out[a.ID] = true
+			o.left[o.names[a.ID]] = 1
+			switch {
+			case !o.desk.tries[a.ID].covered:
+				o.left[o.names[a.ID]] = 2
+			case o.broken: // let pass though its intent was not durable: a crash now may lose it
+				o.left[o.names[a.ID]] = 3
+			}
+		case Deny:
+			o.denied[o.names[a.ID]] = true
+			o.do(o.desk.Handle(Settle{ID: a.ID, Outcome: Skipped}))
+		}
+	}
+}
+
+// sync makes all durable.
+func (o *office) sync() {
+	if o.broken {
+		return
+	}
+	o.durable = len(o.log)
+	if o.fault != lostSync {
+		o.synced = o.durable
+	}
+	o.do(o.desk.Handle(Durable{uint64(o.durable)}))
+}
+
+func (o *office) try() {
+	o.next++
+	o.tries++
+	name := fmt.Sprint("t", o.tries)
+	o.names[o.next] = name
+	o.do(o.desk.Handle(Intend{ID: o.next, Room: !o.full, Try: Try{Request: name, Member: "m", Units: 1}}))
+}
+
+func (o *office) settle(ranked Outcome) {
+	for id := range o.out {
+		delete(o.out, id)
+		used := 1.0
+		if ranked == Sized {
+			used = float64(2 + o.rng.Intn(5))
+			o.atNode[o.names[id]] = used
+		}
+		if ranked == Skipped {
+			delete(o.left, o.names[id]) // it provably never left
+		}
+		o.do(o.desk.Handle(Settle{ID: id, Outcome: ranked, Used: used}))
+		return
+	}
+}
+
+// crash ends a life: what was not synced is lost, if the machine goes down; else only what was not written, which is
+// what a kill may take.
+func (o *office) crash() {
+	keep := o.synced
+	if o.fault != lostSync && o.rng.Intn(2) == 0 {
+		keep += o.rng.Intn(len(o.log) - o.synced + 1)
+	}
+	if o.fault == lostSync {
+		keep = o.synced
+	}
+	o.log = o.log[:max(keep, o.snapTo)]
+	o.synced, o.durable = len(o.log), len(o.log)
+	o.out, o.names = map[ID]bool{}, map[ID]string{}
+	o.start()
+}
+
+func (o *office) snapshot() {
+	if o.fault == none && !o.broken {
+		o.sync()
+		o.snap, o.snapTo = o.desk.Snapshot(), len(o.log)
+	}
+}
+
+// ship sends what is durable, most events again now and then.
+func (o *office) ship() {
+	from := int(o.desk.Acked())
+	if o.rng.Intn(3) == 0 {
+		from = 0 // an acknowledgement was lost
+	}
+	for i := from; i < o.durable; i++ {
+		ev, ok, err := Encode("f", 3, uint64(i+1), o.log[i])
+		if err != nil {
+			panic(err)
+		}
+		if !ok {
+			continue
+		}
+		var c struct {
+			ID, Source, Type string
+			Data             json.RawMessage
+		}
+		if err := json.Unmarshal(ev.JSON, &c); err != nil {
+			panic(err)
+		}
+		key := c.Source + " " + c.ID
+		if c.Type == TypeGap {
+			var g Uncovered
+			json.Unmarshal(c.Data, &g)
+			if o.seen[key] == "" {
+				o.gapped += g.Tries
+			}
+			o.seen[key] = "gap"
+			continue
+		}
+		var u Use
+		json.Unmarshal(c.Data, &u)
+		if o.seen[key] != "" {
+			continue // as a receiver drops it
+		}
+		o.seen[key] = u.Request
+		if _, ok := o.byName[u.Request]; ok {
+			o.twice = append(o.twice, u.Request)
+		}
+		o.byName[u.Request] = u
+	}
+	if o.durable > 0 {
+		o.do(o.desk.Handle(Acked{uint64(o.durable)}))
+	}
+}
+
+func (o *office) verdict() string {
+	if len(o.twice) > 0 {
+		return fmt.Sprintf("%v exported twice", o.twice)
+	}
+	for name, how := range o.left {
+		u, ok := o.byName[name]
+		switch {
+		case how == 1 && !ok:
+			return name + " left and is not exported"
+		case how == 2 && ok:
+			return name + " was let pass uncovered and is exported"
+		case ok && !u.Guess && u.Units != o.atNode[name]:
+			return fmt.Sprintf("%s is exported at %v, the node answered %v", name, u.Units, o.atNode[name])
+		}
+	}
+	for name, u := range o.byName {
+		if o.left[name] == 0 && u.Outcome != Orphan.String() {
+			return name + " never left and is exported"
+		}
+		if o.denied[name] && o.left[name] == 0 && u.Outcome != Orphan.String() {
+			return name + " was denied and is exported"
+		}
+	}
+	return ""
+}
+
+// TestExactlyOnce is a model check of crashes at any point, of a log that fails and of one that is full.
+func TestExactlyOnce(t *testing.T) {
+	play := func(rt *rapid.T, f fault) string {
+		o := newOffice(rapid.Int64().Draw(rt, "seed"), rapid.SampledFrom([]Policy{Refuse, Serve}).Draw(rt, "policy"), f)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 13).Draw(rt, "what") {
+			case 0, 1, 2:
+				o.try()
+			case 3, 4:
+				o.sync()
+			case 5, 6:
+				o.settle(Sized)
+			case 7:
+				o.settle(Silent)
+			case 8:
+				o.settle(Skipped)
+			case 9:
+				o.ship()
+			case 10:
+				o.crash()
+			case 11:
+				o.snapshot()
+			case 12:
+				if !o.broken && f == none {
+					o.broken = true
+					o.do(o.desk.Handle(Broken{"no space"}))
+				} else if o.broken {
+					o.broken = false
+					o.do(o.desk.Handle(Broken{""}))
+				}
+			case 13:
+				o.full = !o.full && f == none
+			}
+		}
+		o.broken, o.full = false, false
+		o.do(o.desk.Handle(Broken{""}))
+		o.sync()
+		o.ship()
+		o.crash()
+		o.ship()
+		return o.verdict()
+	}
+	rapid.Check(t, func(rt *rapid.T) {
+		if s := play(rt, none); s != "" {
+			rt.Fatal(s)
+		}
+	})
+	for f, name := range map[fault]string{lostSync: "a lost sync", sameLife: "keys that come again", noIntent: "a forgotten intent"} {
+		found := 0
+		rapid.Check(t, func(rt *rapid.T) {
+			if play(rt, f) != "" {
+				found++
+			}
+		})
+		if found == 0 {
+			t.Errorf("the model does not find %s", name)
+		}
+	}
+}
+
+// TestGapIsTold serves while the log fails, and tells the receiver how much once it works again.
+func TestGapIsTold(t *testing.T) {
+	o := newOffice(1, Serve, none)
+	o.broken = true
+	o.do(o.desk.Handle(Broken{"no space"}))
+	for range 3 {
+		o.try()
+		o.settle(Sized)
+	}
+	if o.desk.Closed(true) || o.desk.Counts.Uncovered != 3 {
+		t.Errorf("%+v", o.desk.Counts)
+	}
+	o.broken = false
+	o.do(o.desk.Handle(Broken{""}))
+	o.sync()
+	o.ship()
+	if o.gapped != 3 {
+		t.Errorf("%d tries told as not covered, want 3", o.gapped)
+	}
+	o = newOffice(1, Refuse, none)
+	o.do(o.desk.Handle(Broken{"no space"}))
+	o.try()
+	if !o.desk.Closed(true) || !o.denied["t1"] || !NewDesk(DeskSettings{}).Closed(false) {
+		t.Error("a try is let pass that the log can't cover")
+	}
+}
+
+func TestEncode(t *testing.T) {
+	s := Settlement{Try: Try{Request: "r", Attempt: 2, Member: "m", Plan: "p", Class: "k", Node: "n:1", Units: 1, Reserved: true},
+		Intent: 4, Life: 9, Seq: 17, Outcome: Silent, Used: 1.5, Wall: 1e18}
+	ev, ok, err := Encode("a fleet", 3, 5, s.append(nil))
+	want := `{"specversion":"1.0","id":"17","source":"/winghatch/a%20fleet/gateway/3/life/9","type":"winghatch.use.v1",` +
+		`"time":"2001-09-09T01:46:40Z","subject":"m","datacontenttype":"application/json","data":{"request":"r","attempt":2,` +
+		`"member":"m","plan":"p","class":"k","node":"n:1","units":1.5,"guess":true,"outcome":"unanswered","reserved":true}}`
+	if !ok || err != nil || string(ev.JSON) != want || ev.Rec != 5 {
+		t.Errorf("%s %v %v\nwant %s", ev.JSON, ok, err, want)
+	}
+	raw := s.append(nil)
+	for n := 1; n < len(raw); n++ {
+		if _, err := parse(raw[:n]); err == nil {
+			t.Fatalf("cut at %d of %d it is a record", n, len(raw))
+		}
+	}
+}
+
+// receiver answers a shipper.
+type receiver struct {
+	have  map[string]int
+	bad   map[string]bool
+	aside []string
+	acked uint64
+}
+
+// drive runs a shipper until it is idle; status answers each batch.
+func drive(t *testing.T, s *Shipper, log []string, status func(batch []Event) Posted) (acks []uint64, slept []time.Duration, aside []string) {
+	t.Helper()
+	var ev ShipEvent = Start{}
+	for range 10000 {
+		for _, a := range s.Handle(ev) {
+			switch a := a.(type) {
+			case Ack:
+				acks = append(acks, a.Rec)
+			case Fetch:
+				f := Fetched{To: a.Behind}
+				for i := int(a.Behind); i < len(log) && len(f.Events) < a.Most; i++ {
+					f.To = uint64(i + 1)
+					if log[i] != "" {
+						f.Events = append(f.Events, Event{uint64(i + 1), []byte(log[i])})
+					}
+				}
+				ev = f
+			case Post:
+				ev = status(a.Events)
+			case SetAside:
+				aside = append(aside, string(a.Event.JSON))
+				ev = Stored{}
+			case Sleep:
+				slept = append(slept, a.For)
+				if a.Idle {
+					return
+				}
+				ev = Woken{}
+			}
+		}
+	}
+	t.Fatal("the shipper never rests")
+	return
+}
+
+// TestOneBadEvent finds the event that a 400 is for, sets it aside, and sends all others once each.
+func TestOneBadEvent(t *testing.T) {
+	for size := 1; size <= 40; size++ {
+		for bad := range size {
+			var log []string
+			for i := range size {
+				log = append(log, fmt.Sprint("e", i), "") // between them records that are no events
+			}
+			have := map[string]int{}
+			acks, _, aside := drive(t, NewShipper(ShipSettings{Batch: 16}), log, func(b []Event) Posted {
+				for _, e := range b {
+					if string(e.JSON) == fmt.Sprint("e", bad) {
+						return Posted{Status: 400, Whole: true}
+					}
+				}
+				for _, e := range b {
+					have[string(e.JSON)]++
+				}
+				return Posted{Status: 202, Whole: true}
+			})
+			if len(aside) != 1 || aside[0] != fmt.Sprint("e", bad) || len(have) != size-1 || acks[len(acks)-1] != uint64(2*size) {
+				t.Fatalf("%d events, bad %d: %v aside, %d sent, acks %v", size, bad, aside, len(have), acks)
+			}
+			for e, n := range have {
+				if n != 1 {
+					t.Fatalf("%d events, bad %d: %s sent %d times", size, bad, e, n)
+				}
+			}
+			for i := 1; i < len(acks); i++ {
+				if acks[i] < acks[i-1] {
+					t.Fatalf("acks %v", acks)
+				}
+			}
+		}
+	}
+}
+
+// TestBackoff tries again what is no fault of an event, ever more slowly, and waits as long as it is asked to.
+func TestBackoff(t *testing.T) {
+	for _, p := range []Posted{{Status: 500, Whole: true}, {Status: 503, Whole: true}, {Status: 0, Why: "refused"}, {Status: 200, Whole: false},
+		{Status: 302, Whole: true}, {Status: 404, Whole: true}, {Status: 401, Whole: true}} {
+		n := 0
+		acks, slept, aside := drive(t, NewShipper(ShipSettings{Batch: 5, Seed: 3}), []string{"a", "b"}, func([]Event) Posted {
+			if n++; n < 12 {
+				return p
+			}
+			return Posted{Status: 200, Whole: true}
+		})
+		if n != 12 || len(acks) != 1 || acks[0] != 2 || len(aside) > 0 {
+			t.Errorf("%+v: %d posts, acks %v, aside %v", p, n, acks, aside)
+		}
+		if slept[0] < backoffLeast/2 || slept[10] < backoffMost/2 || slept[10] > backoffMost {
+			t.Errorf("%+v: slept %v", p, slept)
+		}
+	}
+	n := 0
+	_, slept, _ := drive(t, NewShipper(ShipSettings{Batch: 5}), []string{"a"}, func([]Event) Posted {
+		if n++; n == 1 {
+			return Posted{Status: 429, RetryAfter: 7 * time.Second, Whole: true}
+		}
+		if n == 2 {
+			return Posted{Status: 429, RetryAfter: 7 * time.Hour, Whole: true}
+		}
+		return Posted{Status: 200, Whole: true}
+	})
+	if slept[0] != 7*time.Second || slept[1] != retryMost {
+		t.Errorf("slept %v, want what was asked, up to %v", slept, retryMost)
+	}
+	if !strings.HasPrefix(Source("f/x", 1, 2), "/winghatch/f%2Fx/") {
+		t.Error(Source("f/x", 1, 2))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	s := Settlement{Try: Try{Request: "r"}, Seq: 1}
+	f.Add(s.append(nil))
+	f.Add(append([]byte{recIntent}, s.Try.append(nil)...))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		parse(b)
+		Encode("f", 1, 1, b)
+		NewDesk(DeskSettings{}).RestoreSnapshot(b)
+	})
+}
