An acknowledgement no longer brings the next; ports of tests held; export's bound lets go

Cause: the export's acknowledgement is a record of its log, which the shipper acknowledged again, for ever: 14,000 turns of the loop and thousands of syncs a second in an idle gateway, found by a storm of kills whose last gateway did not end in time. A gateway test lost its port to another process. At the log's bound room came back late.

--- a/day/trade.go
+++ b/day/trade.go
@@ -69,7 +69,7 @@
 	if f.Export.To == "" {
 		return nil
 	}
-	at, err := p.ports.addr()
+	at, err := p.ports.Addr()
 	if err != nil {
 		return err
 	}
@@ -192,7 +192,9 @@
 
 // killStorm kills gateways at random moments, count times in all, and starts each again at once.
 func (p *player) killStorm(t Trouble) {
+	p.mu.Lock()
 	p.killed = true
+	p.mu.Unlock()
 	for range t.Count {
 		p.sleep(time.Duration((0.5 + p.draw()) * float64(t.For) / float64(t.Count)))
 		if p.ctx.Err() != nil {
--- a/export/ship.go
+++ b/export/ship.go
@@ -73,6 +73,7 @@
 	backoffMost  = 30 * time.Second
 	retryMost    = 5 * time.Minute // of what a receiver may ask for
 	idleLook     = time.Second
+	quietAck     = 10000 // records that are no events are acknowledged by so many
 )
 
 // ShipSettings are what a shipper starts from.
@@ -87,7 +88,8 @@
 type Shipper struct {
 	s       ShipSettings
 	rng     *rand.Rand
-	behind  uint64
+	behind  uint64  // done up to there
+	acked   uint64  // as last told
 	to      uint64  // the fetched ones end there
 	events  []Event // fetched and not done
 	part    int     // of them, the first so many are in the next batch
@@ -106,7 +108,7 @@
 // NewShipper returns a shipper.
 func NewShipper(s ShipSettings) *Shipper {
 	s.Batch = max(1, s.Batch)
-	return &Shipper{s: s, rng: rand.New(rand.NewSource(s.Seed)), behind: s.Behind}
+	return &Shipper{s: s, rng: rand.New(rand.NewSource(s.Seed)), behind: s.Behind, acked: s.Behind}
 }
 
 // Handle takes an event and returns the one thing to be done next, with an Ack before it where one is due.
@@ -120,9 +122,11 @@
 		s.events, s.to = e.Events, e.To
 		s.part = len(e.Events)
 		if len(e.Events) == 0 {
-			if e.To > s.behind { // only records that are no events: they are done
-				s.behind = e.To
-				return []ShipAction{Ack{e.To}, Sleep{idleLook, true}}
+			// Only records that are no events. An acknowledgement is such a record itself: one for each would bring the
+			// next, for ever.
+			if s.behind = max(s.behind, e.To); s.behind-s.acked >= quietAck {
+				s.acked = s.behind
+				return []ShipAction{Ack{s.behind}, Sleep{idleLook, true}}
 			}
 			return []ShipAction{Sleep{idleLook, true}}
 		}
@@ -157,6 +161,7 @@
 	}
 	s.behind = last
 	s.backoff, s.Counts.Backoff = 0, 0
+	s.acked = last
 	out := []ShipAction{Ack{last}}
 	if len(s.events) > 0 {
 		// After a half that was taken whole the rest is tried whole: most batches hold one bad event at most.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -278,6 +278,8 @@
 		l.owed.durable(in.rec)
 	case inOwedLog:
 		l.owed.logFailed(in.err)
+	case inSnapped:
+		l.owed.snapped()
 	case inAcked:
 		l.owed.acked(in.rec)
 	case inUnreserve:
--- a/gateway/owed.go
+++ b/gateway/owed.go
@@ -43,6 +43,7 @@
 	inOwed    struct{ rec uint64 } // durable up to there
 	inOwedLog struct{ err error }
 	inAcked   struct{ rec uint64 }
+	inSnapped struct{}
 )
 
 const (
@@ -238,13 +239,28 @@
 	w.keepFrom.Store(w.desk.Acked() + 1)
 	w.snapAt = no
 	go func() {
-		defer func() { <-w.snaps }()
-		if err := w.log.Snapshot(no, state); err != nil {
+		err := w.log.Snapshot(no, state)
+		if err == nil && w.log.Size() > w.bound/2 {
+			// The log keeps what the snapshot before needs, in case this one turns out damaged. Where room is short that
+			// is too dear: the same one again lets it go.
+			err = w.log.Snapshot(no, state)
+		}
+		if err != nil {
 			w.slog.Error("the export's snapshot failed", "err", err)
 		}
+		<-w.snaps
+		w.l.q.post(inSnapped{})
 	}()
 }
 
+// snapped takes another snapshot where room is still short and more has been acknowledged meanwhile: no later word of
+// the receiver may come that would bring one.
+func (w *owed) snapped() {
+	if w.desk.Acked()+1 > w.keepFrom.Load() && !w.room() {
+		w.snapshot()
+	}
+}
+
 func (w *owed) close() {
 	if !w.closed {
 		w.closed = true
