Measures as native histograms and counters, sent by Prometheus remote write 2.0 and 1.0

Need: with hundreds of gateways measures must tell a cause and neither overwhelm the receiver nor hold up a call.

Change: package measures on client_golang (calls, refusals, attempts, further attempts, times, buckets by plan, homes, peers, nodes, loop, export), labels bounded, members capped; package sendq decides what is sent, again or dropped: the oldest first, halves to find a refused series, 415 or a silent 200 falls back to 1.0; package remotewrite gathers, encodes with the public library's messages and snappy, shards by series, marks series stale at a stop; httpout shares what the accounting's courier knew of receivers that answer unread. A stand-in receiver of both protocols. Loop feeds all of it.

--- a/accounting/courier.go
+++ b/accounting/courier.go
@@ -4,19 +4,16 @@
 package accounting
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"winghatch/export"
+	"winghatch/httpout"
 	"winghatch/wal"
 )
 
@@ -55,10 +52,7 @@
 // New returns a courier; Run starts it.
 func New(o Options) *Courier {
 	c := &Courier{o: o, more: make(chan struct{}, 1)}
-	c.client = http.Client{Timeout: o.Timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second,
-		ExpectContinueTimeout: continueWait},
-		// A receiver that moved is the operator's to follow: a batch must not go where nobody said.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	c.client = httpout.Client(o.Timeout, 1)
 	return c
 }
 
@@ -154,25 +148,7 @@
 	return export.Woken{}
 }
 
-// continueWait is how long a receiver may take to say that it reads, before it is sent the batch all the same.
-const continueWait = time.Second
-
-// watched tells whether all of a body was taken.
-type watched struct {
-	bytes.Reader
-	end atomic.Bool
-}
-
-func (w *watched) Read(b []byte) (int, error) {
-	n, err := w.Reader.Read(b)
-	if w.Len() == 0 {
-		w.end.Store(true)
-	}
-	return n, err
-}
-
 func (c *Courier) post(ctx context.Context, evs []export.Event) export.ShipEvent {
-	body := &watched{}
 	raw := []byte{'['}
 	for i, ev := range evs {
 		if i > 0 {
@@ -180,45 +156,8 @@
 		}
 		raw = append(raw, ev.JSON...)
 	}
-	raw = append(raw, ']')
-	body.Reset(raw)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.o.URL, body)
-	if err != nil {
-		return export.Posted{Why: err.Error()}
-	}
-	req.ContentLength = int64(len(raw))
-	req.Header.Set("Content-Type", BatchType)
-	// A receiver that answers before it has read would else be believed: a batch fits into the sockets' buffers, and
-	// nothing tells one that was read from one that was not. With this (RFC 9110 section 10.1.1) the batch is only sent
-	// once the receiver begins to read.
-	req.Header.Set("Expect", "100-continue")
-	res, err := c.client.Do(req)
-	if err != nil {
-		return export.Posted{Why: err.Error()}
-	}
-	// An answer that came before the body was taken says nothing of it, whatever its status.
-	whole := body.end.Load()
-	said, _ := io.ReadAll(io.LimitReader(res.Body, 512))
-	io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10))
-	res.Body.Close()
-	p := export.Posted{Status: res.StatusCode, RetryAfter: retryAfter(res.Header.Get("Retry-After"), time.Now()), Whole: whole}
-	if res.StatusCode >= 300 {
-		p.Why = fmt.Sprintf("%s: %s", res.Status, bytes.TrimSpace(said))
-	} else if !whole {
-		p.Why = res.Status + ", before the batch was taken"
-	}
-	return p
-}
-
-// retryAfter reads the header (RFC 9110 section 10.2.3): seconds or a date.
-func retryAfter(s string, now time.Time) time.Duration {
-	if n, err := strconv.Atoi(s); err == nil && n >= 0 {
-		return time.Duration(min(n, 1<<30)) * time.Second
-	}
-	if at, err := http.ParseTime(s); err == nil {
-		return max(0, at.Sub(now))
-	}
-	return 0
+	res := httpout.Post(ctx, &c.client, c.o.URL, http.Header{"Content-Type": {BatchType}}, append(raw, ']'))
+	return export.Posted{Status: res.Status, RetryAfter: res.RetryAfter, Whole: res.Whole, Why: res.Why}
 }
 
 // setAside keeps an event where an operator finds it, a line each, before it is acknowledged. One that is written and
--- a/config/config.go
+++ b/config/config.go
@@ -33,9 +33,25 @@
 	ListKept string  // file that keeps the last list, %d stands for the rank; empty: none is kept
 	Caps     Caps
 	Export   Export
+	Measures Measures
 	Log      Log
 }
 
+// Measures say what is counted and timed, and where it goes.
+type Measures struct {
+	On      bool
+	To      string // URL of a remote write receiver; empty: they are only told where the state is
+	Every   time.Duration
+	Timeout time.Duration // of a batch
+	MaxAge  time.Duration // older samples are dropped
+	Queue   int           // samples that wait at most
+	Memory  int           // bytes of them
+	Batch   int           // samples
+	Shards  int
+	Members int  // told by name at most
+	Old     bool // speak remote write 1.0
+}
+
 // Export says where use is told and how surely. Without a URL nothing is exported.
 type Export struct {
 	To         string // URL of the receiver
@@ -154,7 +170,8 @@
 	f := &Fleet{Caps: Caps{Sessions: 20000, Open: 30000, SessionOpen: 1024, Batch: 256, Message: 64 << 10, Frame: 64 << 10,
 		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, Ping: 15 * time.Second, NodeConns: 4, NodeCalls: 256,
 		NodeIdle: 30 * time.Second}, Export: Export{Durability: wal.Interval, Every: 100 * time.Millisecond, Disk: 512 << 20,
-		Batch: 500, Timeout: 10 * time.Second}, Log: Log{Level: "info"}}
+		Batch: 500, Timeout: 10 * time.Second}, Measures: Measures{Every: 15 * time.Second, Timeout: 10 * time.Second, MaxAge: time.Hour,
+		Queue: 100000, Memory: 32 << 20, Batch: 2000, Shards: 2, Members: 200}, Log: Log{Level: "info"}}
 	f.Decide.Limits = decide.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true,
 		MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond}
 	f.Decide.Safety = decide.Safety{AnswerSlack: 20 * time.Millisecond, DrainGrace: 250 * time.Millisecond}
@@ -212,11 +229,12 @@
 			name := d.Named(at, n, memberNames)
 			members = append(members, plannedMember{"member " + name, n.Pos, d.member(name, n)})
 		},
-		"limits": func(at string, n *kdl.Node) { d.limits(at, n, &c.Limits) },
-		"safety": func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
-		"prices": func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
-		"export": func(at string, n *kdl.Node) { d.export(at, n, &f.Export) },
-		"caps":   func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
+		"limits":   func(at string, n *kdl.Node) { d.limits(at, n, &c.Limits) },
+		"safety":   func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
+		"prices":   func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
+		"measures": func(at string, n *kdl.Node) { d.measures(at, n, &f.Measures) },
+		"export":   func(at string, n *kdl.Node) { d.export(at, n, &f.Export) },
+		"caps":     func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
 	}, d.must("secret")...)
 	c.Gateways = len(f.Gateways)
 	if len(f.Gateways) == 0 && !d.draft {
@@ -381,14 +399,7 @@
 	for _, m := range []wal.Mode{wal.Each, wal.Interval, wal.None} {
 		modes[m.String()] = m
 	}
-	d.Block(at, n, decode.Fields{"to": func(s decode.Setting) {
-		u, err := url.Parse(s.Value.Text)
-		if s.Value.Kind != kdl.String || err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-			s.Wrong(`a URL such as "http://127.0.0.1:8090/use"`)
-			return
-		}
-		e.To = s.Value.Text
-	}, "durability": decode.Choice(&e.Durability, modes), "every": decode.Duration(&e.Every, time.Millisecond),
+	d.Block(at, n, decode.Fields{"to": address(&e.To), "durability": decode.Choice(&e.Durability, modes), "every": decode.Duration(&e.Every, time.Millisecond),
 		"disk": func(s decode.Setting) {
 			if decode.Size(&e.Disk)(s); e.Disk < leastDisk {
 				s.Wrong(fmt.Sprintf("%d bytes or more", leastDisk))
@@ -397,6 +408,28 @@
 		"unwritable": decode.Choice(&e.Unwritable, map[string]export.Policy{"refuse": export.Refuse, "serve": export.Serve})}, nil, "to")
 }
 
+func (d *decoder) measures(at string, n *kdl.Node, m *Measures) {
+	d.Plain(at, n)
+	m.On = true
+	d.Block(at, n, decode.Fields{"to": address(&m.To), "every": decode.Duration(&m.Every, 10*time.Millisecond),
+		"timeout": decode.Duration(&m.Timeout, time.Millisecond), "max-age": decode.Duration(&m.MaxAge, time.Second),
+		"queue": decode.Whole(&m.Queue, 100, most), "memory": decode.Size(&m.Memory), "batch": decode.Whole(&m.Batch, 1, 100000),
+		"shards": decode.Whole(&m.Shards, 1, 64), "members": decode.Whole(&m.Members, 0, 100000),
+		"protocol": decode.Choice(&m.Old, map[string]bool{"1.0": true, "2.0": false})}, nil)
+}
+
+// address reads a URL.
+func address(to *string) func(decode.Setting) {
+	return func(s decode.Setting) {
+		u, err := url.Parse(s.Value.Text)
+		if s.Value.Kind != kdl.String || err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			s.Wrong(`a URL such as "http://127.0.0.1:8090/use"`)
+			return
+		}
+		*to = s.Value.Text
+	}
+}
+
 // leastDisk is the smallest bound on the export's log: four segments.
 const leastDisk = 4 << 20
 
--- a/config/format.go
+++ b/config/format.go
@@ -66,6 +66,20 @@
 	w.number("counter", p.Counter)
 	w.close()
 	w.caps(f.Caps)
+	if m := f.Measures; m.On {
+		w.open("measures")
+		w.text("to", m.To)
+		w.duration("every", m.Every)
+		w.duration("timeout", m.Timeout)
+		w.duration("max-age", m.MaxAge)
+		w.set("queue", strconv.Itoa(m.Queue))
+		w.set("memory", strconv.Itoa(m.Memory))
+		w.set("batch", strconv.Itoa(m.Batch))
+		w.set("shards", strconv.Itoa(m.Shards))
+		w.set("members", strconv.Itoa(m.Members))
+		w.set("protocol", quote(map[bool]string{true: "1.0", false: "2.0"}[m.Old]))
+		w.close()
+	}
 	if e := f.Export; e.To != "" {
 		w.open("export")
 		w.text("to", e.To)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,12 +15,15 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
 	"winghatch/config"
 	"winghatch/decide"
 	"winghatch/front/websocket"
 	"winghatch/link"
 	"winghatch/nodelist"
 	"winghatch/peer"
+	"winghatch/remotewrite"
 	"winghatch/reserve"
 	"winghatch/tape"
 	"winghatch/upstream"
@@ -64,8 +67,12 @@
 	state *http.Server
 	epoch int64
 	clock Clock
-	stop  context.CancelFunc
-	wg    sync.WaitGroup
+
+	writer     *remotewrite.Writer // nil: measures go nowhere
+	writerStop context.CancelFunc
+	writerDone chan struct{}
+	stop       context.CancelFunc
+	wg         sync.WaitGroup
 }
 
 // Start binds the sockets that the settings name and runs a gateway on them.
@@ -151,6 +158,12 @@
 			return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
 		}
 	}
+	if f.Measures.On {
+		g.loop.measures = g.openMeasures()
+		if f.Measures.To != "" {
+			g.writer = g.openWriter(f.Measures, g.log)
+		}
+	}
 	g.loop.limit, g.loop.tamper = int64(f.Caps.Open), o.Tamper
 	ok = true
 	g.run(ln, sl)
@@ -187,6 +200,9 @@
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(g.State())
 		})
+		if m := g.loop.measures; m != nil {
+			mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+		}
 		mux.HandleFunc("POST /changes", g.postChange)
 		mux.HandleFunc("GET /changes", g.getHistory)
 		g.state = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second}
@@ -196,6 +212,11 @@
 	if g.loop.owed != nil {
 		goes(func() { g.loop.owed.run(ctx) })
 	}
+	if g.writer != nil {
+		wctx, stop := context.WithCancel(ctx)
+		g.writerStop, g.writerDone = stop, make(chan struct{})
+		goes(func() { g.runWriter(wctx); close(g.writerDone) })
+	}
 	if file := g.fleet.Gateways[g.rank].Changes; file != "" {
 		goes(func() { g.watch(ctx, file) })
 	}
@@ -225,6 +246,11 @@
 			break
 		}
 	}
+	// The last measures leave while the state that they are read from is there.
+	if g.writer != nil {
+		g.writerStop()
+		<-g.writerDone
+	}
 	// The last answers leave before their sessions are cut.
 	for until := time.Now().Add(time.Second); g.front.Sessions() > 0 && time.Now().Before(until); {
 		time.Sleep(2 * time.Millisecond)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,6 +15,7 @@
 	"winghatch/decide"
 	"winghatch/export"
 	"winghatch/front"
+	"winghatch/measures"
 	"winghatch/plans"
 	"winghatch/reserve"
 	"winghatch/tape"
@@ -77,9 +78,12 @@
 	over bool
 	call *upstream.Call
 
-	owe    export.ID // its name at the export's desk; 0: nothing is exported of it
-	held   bool      // it is not handed to the nodes' connections yet, as its intent is not durable
-	denied bool      // it never will be; its end is on its way
+	owe   export.ID // its name at the export's desk; 0: nothing is exported of it
+	took  time.Duration
+	ended string // its outcome
+
+	held   bool // it is not handed to the nodes' connections yet, as its intent is not durable
+	denied bool // it never will be; its end is on its way
 
 	due   time.Duration // its time-out; see timers
 	no    uint64
@@ -113,27 +117,28 @@
 // Loop owns the core.
 type Loop struct {
 	Counters
-	cfg     decide.Config
-	core    Core
-	clock   func() time.Duration
-	nodes   Nodes
-	peers   Peers
-	tape    *tape.Writer
-	log     *slog.Logger
-	chatty  bool // the log takes debug lines
-	q       *queue
-	timers  timers
-	opens   map[string]*open
-	now     time.Duration
-	reasons map[string]int64 // refusals
-	ends    map[string]int64 // outcomes of attempts
-	turns   int64
-	limit   int64 // calls open at once
-	tamper  Tamper
-	books   *books // nil: no changes in service
-	owed    *owed  // nil: nothing is exported
-	done    chan struct{}
-	quit    chan struct{}
+	cfg      decide.Config
+	core     Core
+	clock    func() time.Duration
+	nodes    Nodes
+	peers    Peers
+	tape     *tape.Writer
+	log      *slog.Logger
+	chatty   bool // the log takes debug lines
+	q        *queue
+	timers   timers
+	opens    map[string]*open
+	now      time.Duration
+	reasons  map[string]int64 // refusals
+	ends     map[string]int64 // outcomes of attempts
+	turns    int64
+	limit    int64 // calls open at once
+	tamper   Tamper
+	books    *books        // nil: no changes in service
+	owed     *owed         // nil: nothing is exported
+	measures *measures.Set // nil: nothing is measured
+	done     chan struct{}
+	quit     chan struct{}
 }
 
 // NewLoop returns a loop that Run starts. tape may be nil.
@@ -211,6 +216,9 @@
 		if l.tape != nil && l.q.len() == 0 {
 			l.flushTape()
 		}
+		if l.measures != nil {
+			l.measures.Turn(l.clock() - l.now)
+		}
 		wait := time.Hour
 		if l.books != nil {
 			wait = l.books.due()
@@ -250,6 +258,7 @@
 			o.finished = true
 			l.Counters.Gone.Add(1)
 			l.Open.Add(-1)
+			l.measureFinal(o, "gone", front.Final{})
 			if !o.reserving {
 				l.handle(decide.ClientGone{ID: in.id})
 			}
@@ -259,6 +268,9 @@
 		l.ended(in.try, in.res)
 	case inPeer:
 		if l.books == nil || !l.books.heard(in.from, in.text) {
+			if l.measures != nil {
+				l.measures.Word(in.text, "in")
+			}
 			l.handle(decide.PeerMessage{From: in.from, Text: in.text})
 		}
 	case inAsk:
@@ -357,6 +369,7 @@
 	l.timers.withdraw(t)
 	o := t.o
 	o.out--
+	l.measureEnd(t, res)
 	l.ends[outcomeNames[res.Outcome]]++
 	if l.chatty { // asked first: the fields alone cost an allocation each
 		l.log.Debug("attempt", "request", o.ID, "attempt", t.n, "member", o.Member, "server", t.node,
@@ -411,6 +424,7 @@
 	case front.Failed:
 		l.Failed.Add(1)
 	}
+	l.measureFinal(o, f.Kind.String(), f)
 	if l.chatty {
 		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
 			"attempts", len(o.tries), "took", l.now-o.at)
@@ -475,6 +489,9 @@
 		l.nodes.CloseIdle(a.Server)
 	case decide.Tell:
 		if l.peers != nil {
+			if l.measures != nil {
+				l.measures.Word(a.Text, "out")
+			}
 			l.peers.Send(a.To, a.Text)
 		}
 	case decide.Log:
@@ -490,6 +507,7 @@
 	if o == nil {
 		return
 	}
+	l.measureSend(o)
 	t := &try{o: o, n: len(o.tries), node: a.Server, at: l.now}
 	o.tries = append(o.tries, t)
 	o.out++
--- /dev/null
+++ b/gateway/measured.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"winghatch/config"
+	"winghatch/decide"
+	"winghatch/front"
+	"winghatch/measures"
+	"winghatch/remotewrite"
+	"winghatch/upstream"
+)
+
+// ejectedFrom is the share of a class that a node leaves or fails from which the view calls it ejected; the choice itself
+// compares it with the other nodes'.
+const ejectedFrom = 0.3
+
+// openMeasures makes the measures of a gateway, whose gauges are read from its state.
+func (g *Gateway) openMeasures() *measures.Set {
+	o := measures.Options{Members: g.fleet.Measures.Members}
+	for _, k := range g.fleet.Decide.Classes {
+		o.Classes = append(o.Classes, k.Name)
+	}
+	for _, p := range g.fleet.Decide.Plans {
+		o.Plans = append(o.Plans, p.Name)
+	}
+	return measures.New(o, g.view)
+}
+
+func (g *Gateway) view() measures.View {
+	s := g.State()
+	v := measures.View{Sessions: s.Sessions, Open: int(s.Open), Queue: s.Queue, Late: s.Late, Pressed: s.Core.Pressed, Silent: len(s.Core.Silent),
+		Nodes: map[string]int{}, TurnedAway: s.TurnedAway, Plans: map[string]measures.Plan{}, Changes: s.Changes,
+		Peers: map[string]int64{"sent": s.Datagrams.Sent, "unsent": s.Datagrams.Unsent, "taken": s.Datagrams.Taken, "forged": s.Datagrams.Forged,
+			"foreign": s.Datagrams.Foreign, "repeated": s.Datagrams.Repeated, "over_intake": s.Datagrams.OverIntake}}
+	for _, n := range s.Core.Servers {
+		state := "serving"
+		worst := 0.0
+		for _, m := range n.Missed {
+			worst = max(worst, m)
+		}
+		switch {
+		case n.State == decide.Draining:
+			state = "draining"
+		case n.State == decide.Gone:
+			state = "gone"
+		case n.Cold > 0:
+			state = "cold"
+		case worst > ejectedFrom:
+			state = "ejected"
+		}
+		v.Nodes[state]++
+	}
+	count := map[string]float64{}
+	for _, c := range s.Core.Customers {
+		p := v.Plans[c.Plan]
+		p.Level += c.Level
+		p.Room += max(0, c.Mark-c.Level)
+		p.Part += c.Part
+		v.Plans[c.Plan] = p
+		count[c.Plan]++
+	}
+	for name, n := range count {
+		p := v.Plans[name]
+		p.Part /= n
+		v.Plans[name] = p
+	}
+	for _, r := range s.Reservations {
+		if !r.Ended {
+			v.Reserved += r.Free + r.Drawn
+		}
+	}
+	if e := s.Export; e != nil {
+		v.Export = &measures.Export{Records: float64(e.Records) - float64(e.Acked), Bytes: float64(e.Bytes), Open: float64(e.Open),
+			UncoveredUnits: e.Desk.UncoveredUnits, UncoveredTries: float64(e.Desk.Uncovered), Refusing: e.Refusing}
+	}
+	if g.writer != nil {
+		c := g.writer.Counts()
+		v.Send = map[string]float64{"sent": float64(c.Sent), "rejected": float64(c.Rejected), "dropped_full": float64(c.DroppedFull),
+			"dropped_old": float64(c.DroppedOld)}
+	}
+	return v
+}
+
+func (g *Gateway) openWriter(m config.Measures, log *slog.Logger) *remotewrite.Writer {
+	return remotewrite.New(remotewrite.Options{URL: m.To, Every: m.Every, Timeout: m.Timeout, Shards: m.Shards, Items: m.Queue, Bytes: m.Memory,
+		Batch: m.Batch, MaxAge: m.MaxAge, Old: m.Old, Gather: g.loop.measures.Registry, Log: log, Seed: g.epoch,
+		Labels: []remotewrite.Label{{Name: "fleet", Value: g.fleet.Name}, {Name: "gateway", Value: strconv.Itoa(g.rank)}, {Name: "job", Value: "winghatch"}}})
+}
+
+// flushMeasures is how long a stopping gateway goes on sending what it has measured.
+const flushMeasures = 2 * time.Second
+
+func (g *Gateway) runWriter(ctx context.Context) { g.writer.Run(ctx, flushMeasures) }
+
+// measureEnd counts an attempt's end.
+func (l *Loop) measureEnd(t *try, res upstream.Result) {
+	if l.measures != nil {
+		l.measures.Attempt(t.o.Class, outcomeNames[res.Outcome], l.now-t.at)
+		t.took, t.ended = l.now-t.at, outcomeNames[res.Outcome]
+	}
+}
+
+// measureSend counts an attempt beyond the first by how the last one ended.
+func (l *Loop) measureSend(o *open) {
+	if l.measures == nil || len(o.tries) == 0 {
+		return
+	}
+	after := "open"
+	if t := o.tries[len(o.tries)-1]; t.over {
+		after = t.ended
+	}
+	l.measures.Further(after)
+}
+
+// measureFinal counts a call's end.
+func (l *Loop) measureFinal(o *open, outcome string, f front.Final) {
+	if l.measures == nil {
+		return
+	}
+	c := measures.Call{Class: o.Class, Plan: l.planOf(o), Member: o.Member, Outcome: outcome, Reason: f.Reason, Units: f.Units, Took: l.now - o.at}
+	if outcome == "served" {
+		for _, t := range o.tries {
+			if t.ended == "ok" {
+				c.AtNode = t.took
+			}
+		}
+	}
+	l.measures.Final(c)
+}
--- /dev/null
+++ b/gateway/measured_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/config"
+	"winghatch/standin/node"
+	"winghatch/standin/remotewrite"
+)
+
+// TestMeasuresAgree compares what the receiver of measures has with what clients and nodes counted, to the unit: on a quiet
+// gateway and on one whose nodes fail, whose receiver is away for a while, and that is stopped.
+func TestMeasuresAgree(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		t.Run(fmt.Sprintf("bad %t", bad), func(t *testing.T) {
+			recv, err := remotewrite.Start("127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer recv.Stop()
+			b := newBench(t, 3, func(f *config.Fleet) {
+				f.Measures.On, f.Measures.To, f.Measures.Every = true, recv.URL(), 20*time.Millisecond
+				f.Measures.Queue, f.Measures.Memory, f.Measures.Batch, f.Measures.Shards = 200000, 64<<20, 500, 2
+				f.Measures.MaxAge, f.Measures.Timeout, f.Measures.Members = time.Minute, time.Second, 10
+			})
+			if bad {
+				b.nodes[0].Set(func(x *node.Trouble) { x.Errors = 0.5 })
+				recv.Set(func(x *remotewrite.Trouble) { x.Status = 503 })
+			}
+			c, poor := b.dial(b.key), b.dial("poor")
+			served, units := 0, 0.0
+			for i := range 300 {
+				c.send(call(i, []string{"look", "submit"}[i%2], fmt.Sprintf(`{"units":2,"key":"k%d"}`, i)))
+			}
+			for range 300 {
+				if strings.Contains(c.read(), `"result"`) {
+					served++
+					units += 2
+				}
+			}
+			few, _ := poor.serve(40, `{}`)
+			if bad {
+				recv.Set(func(x *remotewrite.Trouble) { x.Status = 0 })
+			}
+			attempts, refused := b.gw.State().Attempts, refusals(b.gw.State())
+			c.nc.Close()
+			poor.nc.Close()
+			b.gw.Drain()
+			ran := 0
+			for _, n := range b.nodes {
+				ran += n.Ran()
+			}
+			for _, w := range []struct {
+				what string
+				got  float64
+				want int
+			}{
+				{"calls served", recv.Sum("winghatch_calls_total", `outcome="served"`), served + few},
+				{"calls refused", recv.Sum("winghatch_calls_total", `outcome="refused"`), int(refused)},
+				{"refusals by reason", recv.Sum("winghatch_refusals_total"), int(refused)},
+				{"attempts", recv.Sum("winghatch_attempts_total"), int(attempts)},
+				{"attempts answered", recv.Sum("winghatch_attempts_total", `outcome="ok"`), served + few},
+				{"call times", recv.Sum("winghatch_call_duration_seconds"), 340},
+				{"units of m", recv.Sum("winghatch_member_units_total", `member="m"`), int(units)},
+				{"units of poor", recv.Sum("winghatch_member_units_total", `member="poor"`), few},
+				{"nodes", recv.Sum("winghatch_nodes"), 3},
+			} {
+				if w.got != float64(w.want) {
+					t.Errorf("%s: the receiver has %v, counted were %d", w.what, w.got, w.want)
+				}
+			}
+			if !bad && ran != served+few {
+				t.Errorf("nodes ran %d, %d were served", ran, served+few)
+			}
+			if recv.Unsorted > 0 {
+				t.Errorf("%d samples out of order", recv.Unsorted)
+			}
+		})
+	}
+}
--- a/gateway/owed.go
+++ b/gateway/owed.go
@@ -167,12 +167,12 @@
 	w.tries[t.owe] = t
 	o := t.o
 	w.do(w.desk.Handle(export.Intend{ID: t.owe, Room: w.room(), Try: export.Try{Request: o.ID, Attempt: t.n, Member: o.Member,
-		Plan: w.plan(o), Class: o.Class, Node: t.node, Units: o.Units, Reserved: o.Reserved}}))
+		Plan: w.l.planOf(o), Class: o.Class, Node: t.node, Units: o.Units, Reserved: o.Reserved}}))
 }
 
-// plan is the one that a call is served under, which changes in service may have made another than the settings'.
-func (w *owed) plan(o *open) string {
-	if b := w.l.books; b != nil {
+// planOf is the plan that a call is served under, which changes in service may have made another than the settings'.
+func (l *Loop) planOf(o *open) string {
+	if b := l.books; b != nil {
 		if p := b.book.Stands(o.Member).Name; p != "" {
 			return p
 		}
--- /dev/null
+++ b/standin/remotewrite/remotewrite.go
@@ -0,0 +1,240 @@
+// Package remotewrite is a stand-in receiver of Prometheus remote write, 1.0 and 2.0: it keeps the samples of each series and
+// has the faults that a receiver may have.
+package remotewrite
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/golang/snappy"
+
+	"winghatch/remotewrite"
+)
+
+// Trouble is what is wrong; the zero value is nothing.
+type Trouble struct {
+	Status     int // it answers this, and keeps nothing
+	RetryAfter string
+	Early      bool   // it answers 200 before it has read, and keeps nothing
+	Cut        bool   // it keeps and cuts the connection
+	Reject     string // it answers 400 to a batch with a series that has this in its name or labels
+	Most       int    // it answers 413 to more samples than that
+	OnlyOne    bool   // it answers 415 to 2.0
+	Blind      bool   // it takes 2.0 for 1.0: it answers 200, tells nothing of what it wrote, and keeps nothing
+	Slow       time.Duration
+}
+
+// Point is a sample that came.
+type Point struct {
+	At    int64 // Unix ms
+	Value float64
+	Count uint64 // of a native histogram ...
+	Sum   float64
+	Hist  bool
+}
+
+// Receiver is a running one.
+type Receiver struct {
+	srv  *http.Server
+	addr string
+
+	mu       sync.Mutex
+	series   map[string][]Point // by name{label="value",...}
+	trouble  Trouble
+	Batches  map[string]int // by version
+	Bytes    int
+	Samples  int
+	Unsorted int // samples that were not newer than the last of their series
+}
+
+// Start listens at an address.
+func Start(addr string) (*Receiver, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Receiver{addr: ln.Addr().String(), series: map[string][]Point{}, Batches: map[string]int{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/v1/write", r.take)
+	mux.HandleFunc("GET /series", func(w http.ResponseWriter, _ *http.Request) {
+		for _, n := range r.Names() {
+			p := r.Series(n)
+			fmt.Fprintf(w, "%s %v (%d samples)\n", n, p[len(p)-1], len(p))
+		}
+	})
+	r.srv = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go r.srv.Serve(ln)
+	return r, nil
+}
+
+// URL is where it takes writes.
+func (r *Receiver) URL() string { return "http://" + r.addr + "/api/v1/write" }
+
+// Addr is where it listens.
+func (r *Receiver) Addr() string { return r.addr }
+
+// Set changes what is wrong.
+func (r *Receiver) Set(f func(*Trouble)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.trouble)
+}
+
+// Stop cuts all connections.
+func (r *Receiver) Stop() { r.srv.Close() }
+
+// Names are all series, in order.
+func (r *Receiver) Names() (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := range r.series {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Series are the points of one.
+func (r *Receiver) Series(name string) []Point {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Point(nil), r.series[name]...)
+}
+
+// Sum adds the last values, markers aside, of all series whose name begins so and that have all labels.
+func (r *Receiver) Sum(metric string, labels ...string) (sum float64) {
+	for _, n := range r.Names() {
+		if !strings.HasPrefix(n, metric+"{") {
+			continue
+		}
+		all := true
+		for _, l := range labels {
+			all = all && strings.Contains(n, l)
+		}
+		if !all {
+			continue
+		}
+		ps := r.Series(n)
+		for i := len(ps) - 1; i >= 0; i-- {
+			if !remotewrite.IsStale(ps[i].Value) {
+				if sum += ps[i].Value; ps[i].Hist {
+					sum += float64(ps[i].Count)
+				}
+				break
+			}
+		}
+	}
+	return sum
+}
+
+func (r *Receiver) take(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	t := r.trouble
+	r.mu.Unlock()
+	time.Sleep(t.Slow)
+	if t.Early {
+		if nc, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+			nc.Close()
+		}
+		return
+	}
+	raw, err := io.ReadAll(io.LimitReader(req.Body, 64<<20))
+	if err != nil {
+		return
+	}
+	if t.Status != 0 {
+		if t.RetryAfter != "" {
+			w.Header().Set("Retry-After", t.RetryAfter)
+		}
+		http.Error(w, "trouble", t.Status)
+		return
+	}
+	version, two := req.Header.Get("X-Prometheus-Remote-Write-Version"), strings.Contains(req.Header.Get("Content-Type"), "io.prometheus.write.v2")
+	switch {
+	case t.Blind && two:
+		return
+	case t.OnlyOne && two:
+		http.Error(w, "want prometheus.WriteRequest", http.StatusUnsupportedMediaType)
+		return
+	case req.Header.Get("Content-Encoding") != "snappy" || two != (version == "2.0.0"):
+		http.Error(w, "headers: want snappy, and a version that is the content's", http.StatusUnsupportedMediaType)
+		return
+	}
+	body, err := snappy.Decode(nil, raw)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	decode := remotewrite.Decode1
+	if two {
+		decode = remotewrite.Decode2
+	}
+	samples, err := decode(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if t.Most > 0 && len(samples) > t.Most {
+		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	var names []string
+	for _, s := range samples {
+		n := name(s.Series)
+		if names = append(names, n); t.Reject != "" && strings.Contains(n, t.Reject) {
+			http.Error(w, n+": not taken", http.StatusBadRequest)
+			return
+		}
+	}
+	floats, hists := 0, 0
+	r.mu.Lock()
+	for i, s := range samples {
+		p := Point{At: s.At, Value: s.Value}
+		if floats++; s.Hist != nil {
+			floats--
+			hists++
+			p.Hist, p.Count, p.Sum = true, s.Hist.GetCountInt(), s.Hist.Sum
+		}
+		ps := r.series[names[i]]
+		if len(ps) > 0 && s.At <= ps[len(ps)-1].At {
+			if r.Unsorted++; s.At == ps[len(ps)-1].At { // sent again: it has it
+				continue
+			}
+		}
+		r.series[names[i]] = append(ps, p)
+	}
+	r.Batches[version]++
+	r.Bytes += len(raw)
+	r.Samples += len(samples)
+	r.mu.Unlock()
+	if t.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	if two {
+		w.Header().Set("X-Prometheus-Remote-Write-Samples-Written", strconv.Itoa(floats))
+		w.Header().Set("X-Prometheus-Remote-Write-Histograms-Written", strconv.Itoa(hists))
+		w.Header().Set("X-Prometheus-Remote-Write-Exemplars-Written", "0")
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func name(s *remotewrite.Series) string {
+	metric := ""
+	var rest []string
+	for _, l := range s.Labels {
+		if l.Name == "__name__" {
+			metric = l.Value
+		} else {
+			rest = append(rest, l.Name+`="`+l.Value+`"`)
+		}
+	}
+	return metric + "{" + strings.Join(rest, ",") + "}"
+}
