--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,12 +20,14 @@
 	"winghatch/standin/accounting"
 	"winghatch/standin/list"
 	"winghatch/standin/node"
+	"winghatch/standin/remotewrite"
 	"winghatch/standin/school"
 )
 
 type command struct {
 	Node       nodeCmd       `cmd:"" help:"Run an emulated node."`
 	List       listCmd       `cmd:"" help:"Run a list of nodes; lines on standard input change it: NODE serving|draining|gone."`
+	Metrics    metricsCmd    `cmd:"" help:"Take Prometheus remote write and print the sums of some series each second."`
 	Accounting accountingCmd `cmd:"" help:"Take exported use, keep each event once in a file, and print an account each second."`
 	School     schoolCmd     `cmd:"" help:"Order from a fleet's gateways and print an account each second."`
 }
@@ -57,6 +59,36 @@
 	Tail   map[string]float64 `help:"CLASS=FACTOR: one of 50 calls of the class costs so many times the usual."`
 }
 
+type metricsCmd struct {
+	Listen string   `required:"" help:"host:port on loopback."`
+	Show   []string `default:"winghatch_calls_total,winghatch_refusals_total,winghatch_attempts_total" help:"Metrics of which all series are summed."`
+	Status int      `help:"Answer this and keep nothing; 0: take all."`
+}
+
+func (c *metricsCmd) Run() error {
+	r, err := remotewrite.Start(c.Listen)
+	if err != nil {
+		return err
+	}
+	defer r.Stop()
+	r.Set(func(t *remotewrite.Trouble) { t.Status = c.Status })
+	fmt.Printf("takes writes at %s; all series at http://%s/series\n", r.URL(), r.Addr())
+	ctx, stop := interrupted()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+		line := fmt.Sprintf("series %d", len(r.Names()))
+		for _, m := range c.Show {
+			line += fmt.Sprintf(", %s %v", m, r.Sum(m))
+		}
+		fmt.Println(line)
+	}
+}
+
 type accountingCmd struct {
 	Listen     string        `required:"" help:"host:port on loopback."`
 	File       string        `required:"" help:"Keeps the events."`
--- a/cmd/winghatch/gateway.go
+++ b/cmd/winghatch/gateway.go
@@ -96,6 +96,11 @@
 	} else {
 		fmt.Printf("kept: %s and so on for each gateway\n", f.Dir(0))
 	}
+	if m := f.Measures; !m.On {
+		fmt.Println("measures: not set: nothing is counted for Prometheus")
+	} else {
+		fmt.Printf("measures: every %v to %q, at most %d samples and about %d bytes wait\n", m.Every, m.To, m.Queue, m.Memory)
+	}
 	if e := f.Export; e.To == "" {
 		fmt.Println("export: not set: use is told to nobody")
 	} else {
--- a/gateway/books.go
+++ b/gateway/books.go
@@ -19,6 +19,7 @@
 const (
 	chanPlans   = 0x01
 	chanReserve = 0x02
+	chanSums    = 0x03
 )
 
 // Kinds of record in the books' log: the byte, then what the package named writes.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,7 @@
 		}
 	}
 	if f.Measures.On {
-		g.loop.measures = g.openMeasures()
+		g.loop.sums, g.loop.measures = g.openSums(uint64(g.epoch), o.Seed), g.openMeasures()
 		if f.Measures.To != "" {
 			g.writer = g.openWriter(f.Measures, g.log)
 		}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -18,6 +18,7 @@
 	"winghatch/measures"
 	"winghatch/plans"
 	"winghatch/reserve"
+	"winghatch/sums"
 	"winghatch/tape"
 	"winghatch/upstream"
 )
@@ -137,6 +138,7 @@
 	books    *books        // nil: no changes in service
 	owed     *owed         // nil: nothing is exported
 	measures *measures.Set // nil: nothing is measured
+	sums     *sums.Summer  // nil as measures
 	done     chan struct{}
 	quit     chan struct{}
 }
@@ -223,6 +225,10 @@
 		if l.books != nil {
 			wait = l.books.due()
 		}
+		if l.sums != nil {
+			l.tellSums()
+			wait = min(wait, max(time.Millisecond, l.sums.Next()-l.now))
+		}
 		if at, ok := l.timers.next(); ok {
 			wait = max(0, min(wait, at-l.clock()))
 		}
@@ -267,6 +273,12 @@
 	case inEnd:
 		l.ended(in.try, in.res)
 	case inPeer:
+		if len(in.text) > 0 && in.text[0] == chanSums {
+			if l.sums != nil {
+				l.sums.Heard(l.now, in.from, []byte(in.text[1:]))
+			}
+			return
+		}
 		if l.books == nil || !l.books.heard(in.from, in.text) {
 			if l.measures != nil {
 				l.measures.Word(in.text, "in")
--- a/gateway/measured.go
+++ b/gateway/measured.go
@@ -11,6 +11,7 @@
 	"winghatch/front"
 	"winghatch/measures"
 	"winghatch/remotewrite"
+	"winghatch/sums"
 	"winghatch/upstream"
 )
 
@@ -77,6 +78,7 @@
 		v.Export = &measures.Export{Records: float64(e.Records) - float64(e.Acked), Bytes: float64(e.Bytes), Open: float64(e.Open),
 			UncoveredUnits: e.Desk.UncoveredUnits, UncoveredTries: float64(e.Desk.Uncovered), Refusing: e.Refusing}
 	}
+	g.loop.Ask(func() { v.Sums = g.loop.sums.Sums() })
 	if g.writer != nil {
 		c := g.writer.Counts()
 		v.Send = map[string]float64{"sent": float64(c.Sent), "rejected": float64(c.Rejected), "dropped_full": float64(c.DroppedFull),
@@ -130,4 +132,38 @@
 		}
 	}
 	l.measures.Final(c)
+	t := sums.Totals{Units: max(0, f.Units)}
+	switch outcome {
+	case "served":
+		t.Served = 1
+	case "refused":
+		t.Refused = 1
+	case "failed":
+		t.Failed = 1
+	default:
+		return
+	}
+	l.sums.Add(l.now, sums.Name{Class: true, Name: o.Class}, t)
+	l.sums.Add(l.now, sums.Name{Name: o.Member}, t)
+}
+
+// tellSums tells the homes of names what this gateway counted, if it is time.
+func (l *Loop) tellSums() {
+	for _, s := range l.sums.Tick(l.now) {
+		if l.peers != nil {
+			l.peers.Send(s.To, string(append([]byte{chanSums}, s.Data...)))
+		}
+	}
+}
+
+// openSums makes the summer of a gateway. Without peers its own counts are all that it sums.
+func (g *Gateway) openSums(life uint64, seed int64) *sums.Summer {
+	s := sums.Settings{Rank: g.rank, Gateways: len(g.fleet.Gateways), Life: life, Intake: g.fleet.Decide.PeerIntake, Seed: seed}
+	for _, k := range g.fleet.Decide.Classes {
+		s.Names = append(s.Names, sums.Name{Class: true, Name: k.Name})
+	}
+	for _, m := range g.fleet.Members {
+		s.Names = append(s.Names, sums.Name{Name: m.Name})
+	}
+	return sums.New(s)
 }
--- a/gateway/measured_test.go
+++ b/gateway/measured_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,3 +82,59 @@
 		})
 	}
 }
+
+// TestSumsOverGateways sums what three gateways counted, at both homes of each name, while one of them is stopped and started.
+func TestSumsOverGateways(t *testing.T) {
+	recv, err := remotewrite.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer recv.Stop()
+	x := newTrio(t, func(f *config.Fleet) {
+		f.Measures.On, f.Measures.To, f.Measures.Every = true, recv.URL(), 100*time.Millisecond
+		f.Measures.Queue, f.Measures.Memory, f.Measures.Batch, f.Measures.Shards = 200000, 64<<20, 500, 2
+		f.Measures.MaxAge, f.Measures.Timeout, f.Measures.Members = time.Minute, time.Second, 10
+	})
+	served := 0
+	for i := range 3 {
+		n, _ := x.dialAt(i, x.key).serve(10, `{"units":1.5}`)
+		served += n
+	}
+	sum := func(metric string, labels ...string) (most float64) {
+		for _, r := range []string{`replica="0"`, `replica="1"`} {
+			most = max(most, recv.Sum(metric, append(labels, r)...))
+		}
+		return most
+	}
+	agree := func() {
+		t.Helper()
+		eventually(t, "both homes have the sums", func() bool {
+			return recv.Sum("winghatch_sum_units_total", `name="m"`, `replica="0"`) == 1.5*float64(served) &&
+				recv.Sum("winghatch_sum_units_total", `name="m"`, `replica="1"`) == 1.5*float64(served)
+		})
+		if got := sum("winghatch_sum_calls_total", `kind="class"`, `name="look"`, `outcome="served"`); got != float64(served) {
+			t.Errorf("%v calls summed of the class, %d were served", got, served)
+		}
+	}
+	agree()
+	// A gateway that is no home of the member: its later life adds to what its former one told.
+	away := -1
+	for i := range 3 {
+		home := false
+		for _, n := range recv.Names() {
+			home = home || strings.HasPrefix(n, "winghatch_sum_units_total{") && strings.Contains(n, `name="m"`) && strings.Contains(n, fmt.Sprintf(`gateway="%d"`, i))
+		}
+		if !home {
+			away = i
+		}
+	}
+	if away < 0 {
+		t.Fatal("the member has three homes")
+	}
+	x.procs[away].Signal(syscall.SIGTERM)
+	x.procs[away].Wait() // it holds its logs until it ends
+	x.start(away)
+	n, _ := x.dialAt(away, x.key).serve(7, `{"units":1.5}`)
+	served += n
+	agree()
+}
--- a/measures/measures.go
+++ b/measures/measures.go
@@ -4,10 +4,13 @@
 package measures
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"winghatch/sums"
 )
 
 // Options say what labels there may be.
@@ -62,6 +65,7 @@
 	Changes               int
 	Reserved              float64 // tokens of reservations here
 	Send                  map[string]float64
+	Sums                  []sums.Sum // of all gateways, of names whose home this one is
 }
 
 // Plan is what the customers of one have in this gateway.
@@ -114,7 +118,7 @@
 	s.memberNo = counter("winghatch_member_refusals_total", "Calls refused, of capped members by name.", "member")
 	s.leftOut = prometheus.NewGauge(prometheus.GaugeOpts{Name: "winghatch_members_left_out", Help: "Members whose use is told under one name, as the cap on names is reached."})
 	r.MustRegister(s.added, s.turn, s.leftOut, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r.MustRegister(&gauges{view})
+	r.MustRegister(&gauges{view: view, cap: o.Members, shown: map[string]bool{}})
 	return s
 }
 
@@ -203,7 +207,26 @@
 }
 
 // gauges are read from a view.
-type gauges struct{ view func() View }
+type gauges struct {
+	view func() View
+	cap  int
+
+	mu    sync.Mutex
+	shown map[string]bool // members whose sums are told by name; the first ones that have any
+}
+
+// named is the name by which a member's sums are told. It never changes from one to the other, or sums would fall.
+func (g *gauges) named(member string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.shown[member] {
+		if len(g.shown) >= g.cap {
+			return OtherMember
+		}
+		g.shown[member] = true
+	}
+	return member
+}
 
 func desc(name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc("winghatch_"+name, help, labels, nil)
@@ -230,12 +253,14 @@
 	dRefusing  = desc("export_refusing", "1 while calls are refused as their use can't be covered.")
 	dChanges   = desc("plan_changes", "Changes in the book of plans.")
 	dReserved  = desc("reserved_units", "Units of reservations held at this gateway.")
+	dSumCalls  = desc("sum_calls_total", "Calls at all gateways by their final answer, of a class or member whose home this gateway is; see docs/metrics.md.", "kind", "name", "outcome", "replica")
+	dSumUnits  = desc("sum_units_total", "Units of answered calls at all gateways, of a class or member whose home this gateway is.", "kind", "name", "replica")
 	dSend      = desc("remote_write_samples_total", "Samples for remote write, by what became of them.", "result")
 )
 
 func (g *gauges) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{dSessions, dOpen, dPressed, dQueue, dLate, dSilent, dNodes, dPeers, dTurned, dLevel, dRoom, dPart, dOwed,
-		dOwedBytes, dOwedOpen, dUncovered, dUncTries, dRefusing, dChanges, dReserved, dSend} {
+		dOwedBytes, dOwedOpen, dUncovered, dUncTries, dRefusing, dChanges, dReserved, dSend, dSumCalls, dSumUnits} {
 		ch <- d
 	}
 }
@@ -285,4 +310,24 @@
 	for k, n := range v.Send {
 		count(dSend, n, k)
 	}
+	type key struct{ kind, name, replica string }
+	totals := map[key]sums.Totals{}
+	for _, s := range v.Sums {
+		k := key{"class", s.Name.Name, "1"}
+		if s.First {
+			k.replica = "0"
+		}
+		if !s.Class {
+			k.kind, k.name = "member", g.named(s.Name.Name)
+		}
+		t := totals[k]
+		t.Served, t.Refused, t.Failed, t.Units = t.Served+s.Served, t.Refused+s.Refused, t.Failed+s.Failed, t.Units+s.Units
+		totals[k] = t
+	}
+	for k, t := range totals {
+		count(dSumCalls, float64(t.Served), k.kind, k.name, "served", k.replica)
+		count(dSumCalls, float64(t.Refused), k.kind, k.name, "refused", k.replica)
+		count(dSumCalls, float64(t.Failed), k.kind, k.name, "failed", k.replica)
+		count(dSumUnits, t.Units, k.kind, k.name, k.replica)
+	}
 }
