--- a/bench/export.go
+++ b/bench/export.go
@@ -57,19 +57,50 @@
 
 // exports measures the gateway without an export and with one of each durability, in turn.
 func exports(dir, file string, warm, span time.Duration) error {
-	const sessions, outstanding, rounds = 64, 512, 3
 	s, err := newSink()
 	if err != nil {
 		return err
 	}
 	files := map[string]string{"off": file}
-	modes := []string{"off", "none", "interval", "each"}
 	for _, m := range []wal.Mode{wal.None, wal.Interval, wal.Each} {
 		if files[m.String()], err = exporting(file, dir, s.addr, m, 2<<30-1); err != nil {
 			return err
 		}
 	}
+	if err := inTurn("export", []string{"off", "none", "interval", "each"}, files, warm, span, nil); err != nil {
+		return err
+	}
+	fmt.Printf("fsync of %d bytes on this disk: %v\n\n", 4096, syncTime(dir))
+	return nil
+}
+
+// measured measures the gateway without measures, with them, and with a receiver that is down.
+func measured(dir, file string, warm, span time.Duration) error {
+	s, err := newSink()
+	if err != nil {
+		return err
+	}
+	files := map[string]string{"off": file}
+	f, err := config.Load(file)
+	if err != nil {
+		return err
+	}
+	f.Measures.On, f.Measures.To, f.Measures.Every, f.Measures.Old = true, "http://"+s.addr+"/api/v1/write", time.Second, true
+	files["on"] = filepath.Join(dir, "measures.kdl")
+	if err := os.WriteFile(files["on"], config.Format(f), 0o600); err != nil {
+		return err
+	}
+	files["receiver down"] = files["on"]
+	return inTurn("measures each second", []string{"off", "on", "receiver down"}, files, warm, span, func(mode string) { s.down.Store(mode == "receiver down") })
+}
+
+// inTurn measures a gateway under settings of several modes, of which the first is what the others are compared with.
+func inTurn(what string, modes []string, files map[string]string, warm, span time.Duration, before func(mode string)) error {
+	const sessions, outstanding, rounds = 64, 512, 3
 	run := func(mode string, f func(c *clients)) error {
+		if before != nil {
+			before(mode)
+		}
 		p, err := start("gateway", files[mode], "")
 		if err != nil {
 			return err
@@ -82,7 +113,7 @@
 		f(c)
 		c.close()
 		if n := c.bad.Load(); n > 0 {
-			return fmt.Errorf("export %s: %d calls were not served", mode, n)
+			return fmt.Errorf("%s %s: %d calls were not served", what, mode, n)
 		}
 		return nil
 	}
@@ -115,13 +146,13 @@
 			}
 		}
 	}
-	fmt.Printf("export, 64 sessions, 512 calls open; quantiles at %.0f calls a second, half of the slowest's most\n\n", at)
-	fmt.Println("| export | calls/s | to off | p50 | p99 |\n| --- | --- | --- | --- | --- |")
+	fmt.Printf("%s, 64 sessions, 512 calls open; quantiles at %.0f calls a second, half of the slowest's most\n\n", what, at)
+	fmt.Printf("| %s | calls/s | to %s | p50 | p99 |\n| --- | --- | --- | --- | --- |\n", what, modes[0])
 	for _, m := range modes {
-		fmt.Printf("| %s | %d | %.2f | %v | %v |\n", m, median(rates[m]), float64(median(rates[m]))/float64(median(rates["off"])),
+		fmt.Printf("| %s | %d | %.2f | %v | %v |\n", m, median(rates[m]), float64(median(rates[m]))/float64(median(rates[modes[0]])),
 			time.Duration(median(tails[m][50])).Round(time.Microsecond), time.Duration(median(tails[m][99])).Round(time.Microsecond))
 	}
-	fmt.Printf("\nfsync of %d bytes on this disk: %v\n\n", 4096, syncTime(dir))
+	fmt.Println()
 	return nil
 }
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -41,7 +41,7 @@
 var (
 	quick  = flag.Bool("quick", false, "shorter runs")
 	load   = flag.Float64("load", 0.5, "part of the gateway's most at which added time is measured")
-	only   = flag.String("only", "", "throughput, idle, growth, export, recovery or outage; else the first four")
+	only   = flag.String("only", "", "throughput, idle, growth, export, measures, recovery or outage; else the first five")
 	spanOf = flag.Duration("for", 20*time.Second, "how long the receiver is down in the outage")
 	rateOf = flag.Float64("rate", 5000, "calls a second in the outage")
 	tries  = flag.Int("tries", 1_000_000, "most tries in the recovery table")
@@ -337,6 +337,7 @@
 	}{{"throughput", func() error { return throughput(dir, file, nodes[0], warm, span) }},
 		{"idle", func() error { return idle(file) }}, {"growth", func() error { return growth(file, warm, span) }},
 		{"export", func() error { return exports(dir, file, warm, span) }},
+		{"measures", func() error { return measured(dir, file, warm, span) }},
 		{"recovery", func() error { return recovery(dir, *tries) }},
 		{"outage", func() error { return outage(dir, file, *rateOf, *spanOf) }}} {
 		if *only == table.name || *only == "" && table.name != "recovery" && table.name != "outage" {
--- a/day/run.go
+++ b/day/run.go
@@ -24,6 +24,7 @@
 	"winghatch/standin/list"
 	"winghatch/standin/node"
 	"winghatch/standin/ports"
+	"winghatch/standin/remotewrite"
 	"winghatch/standin/school"
 )
 
@@ -74,6 +75,7 @@
 	ports  ports.Reserved
 
 	ledger   *ledger
+	metrics  *remotewrite.Receiver
 	killed   bool
 	kills    int
 	changes  uint64
@@ -144,7 +146,7 @@
 			res.Attempts++
 		}
 	}
-	if err := p.closeBooks(recs, res); err != nil {
+	if err := errors.Join(p.closeBooks(recs, res), p.closeMetrics()); err != nil {
 		return nil, err
 	}
 	return res, nil
--- a/day/script.go
+++ b/day/script.go
@@ -96,6 +96,8 @@
 	"accounting_slow":   "the accounting takes size seconds for a batch",
 	"accounting_status": "the accounting answers half of the batches with the status size, and Retry-After",
 
+	"metrics_down": "the receiver of measures answers 503",
+
 	"cut": "the connections of count nodes are broken",
 }
 
--- a/day/trade.go
+++ b/day/trade.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -16,6 +17,7 @@
 	"winghatch/gateway"
 	"winghatch/plans"
 	"winghatch/standin/accounting"
+	"winghatch/standin/remotewrite"
 	"winghatch/standin/school"
 )
 
@@ -66,6 +68,16 @@
 func (p *player) openBooks() error {
 	f := p.fleet
 	f.Kept = filepath.Join(p.o.Dir, "kept-%d")
+	if f.Measures.On {
+		at, err := p.ports.Addr()
+		if err != nil {
+			return err
+		}
+		if p.metrics, err = remotewrite.Start(at); err != nil {
+			return err
+		}
+		f.Measures.To = p.metrics.URL()
+	}
 	if f.Export.To == "" {
 		return nil
 	}
@@ -81,6 +93,19 @@
 	return nil
 }
 
+// closeMetrics keeps the series that the day's receiver has.
+func (p *player) closeMetrics() error {
+	if p.metrics == nil {
+		return nil
+	}
+	defer p.metrics.Stop()
+	f, err := os.Create(filepath.Join(p.o.Dir, "series.jsonl"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(p.metrics.Record(f, "winghatch_"), f.Close())
+}
+
 // closeBooks exports what the logs of the gateways still owe, and has it judged.
 func (p *player) closeBooks(recs []audit.Record, res *Outcome) error {
 	if p.ledger == nil {
@@ -171,6 +196,14 @@
 		bad(func(x *accounting.Trouble) { x.Early, x.Part = true, 0.5 })
 	case "accounting_slow":
 		bad(func(x *accounting.Trouble) { x.Slow = time.Duration(t.Size * float64(time.Second)) })
+	case "metrics_down":
+		if p.metrics == nil {
+			p.fail(fmt.Errorf("day: %s: the fleet has no measures", t.Kind))
+			return true
+		}
+		p.metrics.Set(func(x *remotewrite.Trouble) { x.Status = 503 })
+		p.sleep(t.For)
+		p.metrics.Set(func(x *remotewrite.Trouble) { x.Status = 0 })
 	case "plan_change":
 		p.planChange(t)
 	case "reserve":
--- a/decide/view.go
+++ b/decide/view.go
@@ -26,8 +26,10 @@
 	Ghosts int       // ended unanswered, may still run
 	Slow   float64   // times the usual time
 	Missed []float64 // share left or failed, by class
-	Cold   time.Duration
-	Budget float64 // cold budget, in requests; where Cold is 0 it says nothing
+	// Of some class it leaves or fails so much more than the best that it gets none of it while others may.
+	Ejected bool
+	Cold    time.Duration
+	Budget  float64 // cold budget, in requests; where Cold is 0 it says nothing
 }
 
 // CustomerView is what a gateway holds of a customer's bucket.
@@ -63,12 +65,24 @@
 	if g.begun {
 		v.Pressed = g.pressed()
 	}
+	least := make([]float64, len(g.cfg.Classes))
+	for i, k := range g.cfg.Classes {
+		least[i] = 1
+		for _, s := range g.order {
+			if s.State == Serving {
+				least[i] = min(least[i], g.missed(s, g.classes[k.Name]))
+			}
+		}
+	}
 	for _, s := range g.order {
 		sv := ServerView{ID: s.ID, Zone: s.Zone, State: s.State, Out: s.out, Ghosts: len(s.ghosts), Slow: g.slowness(s),
 			Cold: max(0, s.coldUntil-g.now), Budget: s.budget}
 		for _, k := range g.cfg.Classes {
 			sv.Missed = append(sv.Missed, g.missed(s, g.classes[k.Name]))
 		}
+		for i, m := range sv.Missed {
+			sv.Ejected = sv.Ejected || m > least[i]+missNear
+		}
 		v.Servers = append(v.Servers, sv)
 	}
 	for _, c := range g.queue {
--- a/export/desk.go
+++ b/export/desk.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"winghatch/pack"
 )
 
 // Policy says what happens to calls while the log can't be written.
@@ -352,13 +354,13 @@
 
 // RestoreSnapshot takes what Snapshot wrote, before the records behind it.
 func (d *Desk) RestoreSnapshot(p []byte) error {
-	r := &reader{b: p}
-	d.lastOld, d.acked = r.uvarint(), r.uvarint()
-	for n := r.uvarint(); n > 0 && !r.bad; n-- {
-		rec := r.uvarint()
-		d.orphans[rec] = r.try()
+	r := &pack.Reader{B: p}
+	d.lastOld, d.acked = r.Uvarint(any64), r.Uvarint(any64)
+	for n := r.Uvarint(any64); n > 0 && !r.Bad; n-- {
+		rec := r.Uvarint(any64)
+		d.orphans[rec] = readTry(r)
 	}
-	if r.bad {
+	if r.Bad {
 		return fmt.Errorf("export: the snapshot is cut")
 	}
 	return nil
--- a/export/record.go
+++ b/export/record.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"winghatch/pack"
 )
 
 // Try is an attempt as it is exported.
@@ -79,19 +81,11 @@
 	recGap    = 'G'
 )
 
-func appendString(b []byte, s string) []byte {
-	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
-}
-
-func appendFloat(b []byte, v float64) []byte {
-	return binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
-}
-
 func (t *Try) append(b []byte) []byte {
-	b = appendString(b, t.Request)
+	b = pack.String(b, t.Request)
 	b = binary.AppendUvarint(b, uint64(t.Attempt))
-	b = appendString(appendString(appendString(appendString(b, t.Member), t.Plan), t.Class), t.Node)
-	b = appendFloat(b, t.Units)
+	b = pack.String(pack.String(pack.String(pack.String(b, t.Member), t.Plan), t.Class), t.Node)
+	b = pack.Float(b, t.Units)
 	flags := byte(0)
 	if t.Reserved {
 		flags = 1
@@ -102,82 +96,27 @@
 func (s *Settlement) append(b []byte) []byte {
 	b = append(b, recSettle)
 	b = binary.AppendUvarint(binary.AppendUvarint(binary.AppendUvarint(b, s.Intent), s.Life), s.Seq)
-	b = appendFloat(append(b, byte(s.Outcome)), s.Used)
+	b = pack.Float(append(b, byte(s.Outcome)), s.Used)
 	return s.Try.append(binary.AppendVarint(b, s.Wall))
 }
 
 func (g *Gap) append(b []byte) []byte {
 	b = binary.AppendUvarint(binary.AppendUvarint(binary.AppendUvarint(append(b, recGap), g.Life), g.Seq), g.Tries)
-	return binary.AppendVarint(appendFloat(b, g.Units), g.Wall)
-}
-
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) fail() { r.bad, r.b = true, nil }
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.fail()
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) varint() int64 {
-	v, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.fail()
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) byte() byte {
-	if len(r.b) == 0 {
-		r.fail()
-		return 0
-	}
-	v := r.b[0]
-	r.b = r.b[1:]
-	return v
-}
-
-func (r *reader) text() string {
-	n := r.uvarint()
-	if n > uint64(len(r.b)) {
-		r.fail()
-		return ""
-	}
-	s := string(r.b[:n])
-	r.b = r.b[n:]
-	return s
-}
-
-func (r *reader) float() float64 {
-	if len(r.b) < 8 {
-		r.fail()
-		return 0
-	}
-	v := math.Float64frombits(binary.LittleEndian.Uint64(r.b))
-	r.b = r.b[8:]
-	return v
+	return binary.AppendVarint(pack.Float(b, g.Units), g.Wall)
 }
 
-func (r *reader) try() (t Try) {
-	t.Request = r.text()
-	t.Attempt = int(r.uvarint())
-	t.Member, t.Plan, t.Class, t.Node = r.text(), r.text(), r.text(), r.text()
-	t.Units = r.float()
-	t.Reserved = r.byte()&1 > 0
+func readTry(r *pack.Reader) (t Try) {
+	t.Request = r.String(any64)
+	t.Attempt = int(r.Uvarint(math.MaxInt32))
+	t.Member, t.Plan, t.Class, t.Node = r.String(any64), r.String(any64), r.String(any64), r.String(any64)
+	t.Units = r.Float()
+	t.Reserved = r.Byte()&1 > 0
 	return t
 }
 
+// any64 bounds no whole number.
+const any64 = math.MaxUint64
+
 var errCut = errors.New("export: not a whole record")
 
 // record is one of the log, read.
@@ -190,24 +129,24 @@
 }
 
 func parse(p []byte) (rec record, err error) {
-	r := &reader{b: p}
-	switch rec.kind = r.byte(); rec.kind {
+	r := &pack.Reader{B: p}
+	switch rec.kind = r.Byte(); rec.kind {
 	case recIntent:
-		rec.try = r.try()
+		rec.try = readTry(r)
 	case recSettle:
 		s := &rec.settle
-		s.Intent, s.Life, s.Seq = r.uvarint(), r.uvarint(), r.uvarint()
-		s.Outcome, s.Used, s.Wall = Outcome(r.byte()), r.float(), r.varint()
-		s.Try = r.try()
+		s.Intent, s.Life, s.Seq = r.Uvarint(any64), r.Uvarint(any64), r.Uvarint(any64)
+		s.Outcome, s.Used, s.Wall = Outcome(r.Byte()), r.Float(), r.Varint()
+		s.Try = readTry(r)
 	case recLife, recAck:
-		rec.number = r.uvarint()
+		rec.number = r.Uvarint(any64)
 	case recGap:
-		rec.gap.Life, rec.gap.Seq, rec.gap.Tries = r.uvarint(), r.uvarint(), r.uvarint()
-		rec.gap.Units, rec.gap.Wall = r.float(), r.varint()
+		rec.gap.Life, rec.gap.Seq, rec.gap.Tries = r.Uvarint(any64), r.Uvarint(any64), r.Uvarint(any64)
+		rec.gap.Units, rec.gap.Wall = r.Float(), r.Varint()
 	default:
 		return rec, fmt.Errorf("export: record of kind %q, want I, S, L, A or G", rec.kind)
 	}
-	if r.bad {
+	if r.Bad {
 		return rec, errCut
 	}
 	return rec, nil
--- a/front/websocket/server.go
+++ b/front/websocket/server.go
@@ -99,6 +99,10 @@
 	s.mu.Lock()
 	s.ln = ln
 	s.mu.Unlock()
+	if s.draining.Load() { // a stop that came before this one knew of no listener to close
+		ln.Close()
+		return
+	}
 	for wait := time.Millisecond; ; {
 		nc, err := ln.Accept()
 		if err != nil {
--- a/front/websocket/skew_test.go
+++ b/front/websocket/skew_test.go
@@ -1,9 +1,13 @@
 package websocket
 
 import (
+	"log/slog"
 	"math"
+	"net"
 	"testing"
 	"time"
+
+	"winghatch/config"
 )
 
 // TestSkew tells calls by a client's clock of another origin: the quickest is of no age, what lay is old.
@@ -32,3 +36,22 @@
 		}
 	}
 }
+
+// TestServeAfterClose: a server that was closed before it began to serve takes nothing and returns.
+func TestServeAfterClose(t *testing.T) {
+	for _, stop := range []func(*Server){(*Server).Close, (*Server).Drain} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := New(&config.Fleet{}, 0, "", nil, nil, slog.New(slog.DiscardHandler))
+		stop(s)
+		done := make(chan struct{})
+		go func() { s.Serve(ln); close(done) }()
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			t.Fatal("it serves")
+		}
+	}
+}
--- a/gateway/measured.go
+++ b/gateway/measured.go
@@ -15,10 +15,6 @@
 	"winghatch/upstream"
 )
 
-// ejectedFrom is the share of a class that a node leaves or fails from which the view calls it ejected; the choice itself
-// compares it with the other nodes'.
-const ejectedFrom = 0.3
-
 // openMeasures makes the measures of a gateway, whose gauges are read from its state.
 func (g *Gateway) openMeasures() *measures.Set {
 	o := measures.Options{Members: g.fleet.Measures.Members}
@@ -39,10 +35,6 @@
 			"foreign": s.Datagrams.Foreign, "repeated": s.Datagrams.Repeated, "over_intake": s.Datagrams.OverIntake}}
 	for _, n := range s.Core.Servers {
 		state := "serving"
-		worst := 0.0
-		for _, m := range n.Missed {
-			worst = max(worst, m)
-		}
 		switch {
 		case n.State == decide.Draining:
 			state = "draining"
@@ -50,7 +42,7 @@
 			state = "gone"
 		case n.Cold > 0:
 			state = "cold"
-		case worst > ejectedFrom:
+		case n.Ejected:
 			state = "ejected"
 		}
 		v.Nodes[state]++
@@ -81,6 +73,7 @@
 	g.loop.Ask(func() { v.Sums = g.loop.sums.Sums() })
 	if g.writer != nil {
 		c := g.writer.Counts()
+		v.Waiting = c.Waiting
 		v.Send = map[string]float64{"sent": float64(c.Sent), "rejected": float64(c.Rejected), "dropped_full": float64(c.DroppedFull),
 			"dropped_old": float64(c.DroppedOld)}
 	}
--- a/measures/measures.go
+++ b/measures/measures.go
@@ -65,6 +65,7 @@
 	Changes               int
 	Reserved              float64 // tokens of reservations here
 	Send                  map[string]float64
+	Waiting               int        // samples for remote write
 	Sums                  []sums.Sum // of all gateways, of names whose home this one is
 }
 
@@ -255,12 +256,13 @@
 	dReserved  = desc("reserved_units", "Units of reservations held at this gateway.")
 	dSumCalls  = desc("sum_calls_total", "Calls at all gateways by their final answer, of a class or member whose home this gateway is; see docs/metrics.md.", "kind", "name", "outcome", "replica")
 	dSumUnits  = desc("sum_units_total", "Units of answered calls at all gateways, of a class or member whose home this gateway is.", "kind", "name", "replica")
+	dWaiting   = desc("remote_write_waiting_samples", "Samples that wait to be sent by remote write.")
 	dSend      = desc("remote_write_samples_total", "Samples for remote write, by what became of them.", "result")
 )
 
 func (g *gauges) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{dSessions, dOpen, dPressed, dQueue, dLate, dSilent, dNodes, dPeers, dTurned, dLevel, dRoom, dPart, dOwed,
-		dOwedBytes, dOwedOpen, dUncovered, dUncTries, dRefusing, dChanges, dReserved, dSend, dSumCalls, dSumUnits} {
+		dOwedBytes, dOwedOpen, dUncovered, dUncTries, dRefusing, dChanges, dReserved, dSend, dSumCalls, dSumUnits, dWaiting} {
 		ch <- d
 	}
 }
@@ -310,6 +312,9 @@
 	for k, n := range v.Send {
 		count(dSend, n, k)
 	}
+	if v.Send != nil {
+		gauge(dWaiting, float64(v.Waiting))
+	}
 	type key struct{ kind, name, replica string }
 	totals := map[key]sums.Totals{}
 	for _, s := range v.Sums {
--- a/plans/change.go
+++ b/plans/change.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"winghatch/decide"
+	"winghatch/pack"
 )
 
 // Kind says what a change does.
@@ -112,6 +113,9 @@
 
 const changeVersion = 1
 
+// any64 bounds no whole number.
+const any64 = math.MaxUint64
+
 // Append writes a change: the version 1, the kind, and then, integers as varints of Go's encoding/binary, strings with
 // their length before them and figures as 8 bytes of IEEE 754, little-endian: number, member, plan, from, to, units,
 // rate, target, stamp, origin, life; with the kind Terms also rate, burst, ceiling rate, burst and slack, most open,
@@ -119,7 +123,7 @@
 func (c *Change) Append(b []byte) []byte {
 	b = append(b, changeVersion, byte(c.Kind))
 	b = binary.AppendUvarint(b, c.Number)
-	b = appendString(appendString(b, c.Member), c.Plan)
+	b = pack.String(pack.String(b, c.Member), c.Plan)
 	b = binary.AppendVarint(binary.AppendVarint(b, c.From), c.To)
 	b = appendFloats(b, c.Units, c.Rate)
 	b = binary.AppendUvarint(b, c.Target)
@@ -133,64 +137,13 @@
 	return b
 }
 
-func appendString(b []byte, s string) []byte {
-	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
-}
-
 func appendFloats(b []byte, vs ...float64) []byte {
 	for _, v := range vs {
-		b = binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
+		b = pack.Float(b, v)
 	}
 	return b
 }
 
-// reader takes fields off bytes and remembers that one was cut.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) varint() int64 {
-	v, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) text() string {
-	n := r.uvarint()
-	if n > maxName || n > uint64(len(r.b)) {
-		r.bad, r.b = true, nil
-		return ""
-	}
-	s := string(r.b[:n])
-	r.b = r.b[n:]
-	return s
-}
-
-func (r *reader) float() float64 {
-	if len(r.b) < 8 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	v := math.Float64frombits(binary.LittleEndian.Uint64(r.b))
-	r.b = r.b[8:]
-	return v
-}
-
 var errCut = errors.New("plans: not a whole change")
 
 // ParseChange reads what Append wrote, and returns the bytes behind it.
@@ -199,32 +152,32 @@
 		return c, nil, errCut
 	}
 	c.Kind = Kind(b[1])
-	r := &reader{b: b[2:]}
-	c.Number = r.uvarint()
-	c.Member, c.Plan = r.text(), r.text()
-	c.From, c.To = r.varint(), r.varint()
-	c.Units, c.Rate = r.float(), r.float()
-	c.Target = r.uvarint()
-	c.Stamp = r.varint()
-	origin := r.uvarint()
-	c.Origin, c.Life = int(origin), r.uvarint()
+	r := &pack.Reader{B: b[2:]}
+	c.Number = r.Uvarint(any64)
+	c.Member, c.Plan = r.String(maxName), r.String(maxName)
+	c.From, c.To = r.Varint(), r.Varint()
+	c.Units, c.Rate = r.Float(), r.Float()
+	c.Target = r.Uvarint(any64)
+	c.Stamp = r.Varint()
+	origin := r.Uvarint(math.MaxUint16)
+	c.Origin, c.Life = int(origin), r.Uvarint(any64)
 	if c.Kind == Terms {
 		p := &c.Terms
 		p.Name = c.Plan
 		open := 0.0
 		for _, v := range []*float64{&p.Rate, &p.Burst, &p.CeilingRate, &p.CeilingBurst, &p.CeilingSlack, &open,
 			&p.Price, &p.OverWorth, &p.OverCost} {
-			*v = r.float()
+			*v = r.Float()
 		}
 		if !(open >= 0 && open <= math.MaxInt32) {
 			return c, nil, errCut
 		}
 		p.MaxOpen = int(open)
 	}
-	if r.bad || kindNames[c.Kind] == "" || c.Number == 0 || origin > math.MaxUint16 || !c.finite() {
+	if r.Bad || kindNames[c.Kind] == "" || c.Number == 0 || !c.finite() {
 		return c, nil, errCut
 	}
-	return c, r.b, nil
+	return c, r.B, nil
 }
 
 // finite reports whether all figures are numbers of 0 or more.
--- a/reserve/ledger.go
+++ b/reserve/ledger.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"winghatch/pack"
 	"winghatch/plans"
 )
 
@@ -347,16 +348,16 @@
 		flags |= 2
 	}
 	b = append(b, flags)
-	b = appendFloat(appendFloat(b, h.cut), h.free)
+	b = pack.Float(pack.Float(b, h.cut), h.free)
 	b = binary.AppendUvarint(b, uint64(len(h.sent)))
 	for _, k := range sortedKeys(h.sent) {
 		b = binary.AppendUvarint(b, uint64(k.from))
-		b = appendFloat(binary.LittleEndian.AppendUint64(b, k.era), h.sent[k].total)
+		b = pack.Float(binary.LittleEndian.AppendUint64(b, k.era), h.sent[k].total)
 	}
 	b = binary.AppendUvarint(b, uint64(len(h.got)))
 	for _, k := range sortedKeys(h.got) {
 		b = binary.AppendUvarint(b, uint64(k.from))
-		b = appendFloat(binary.LittleEndian.AppendUint64(b, k.era), h.got[k])
+		b = pack.Float(binary.LittleEndian.AppendUint64(b, k.era), h.got[k])
 	}
 	return b
 }
@@ -371,67 +372,29 @@
 	return keys
 }
 
-func appendFloat(b []byte, v float64) []byte {
-	return binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
-}
-
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (r *reader) u64() uint64 {
-	if len(r.b) < 8 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	v := binary.LittleEndian.Uint64(r.b)
-	r.b = r.b[8:]
-	return v
-}
-
-func (r *reader) float() float64 {
-	v := math.Float64frombits(r.u64())
-	if math.IsNaN(v) || math.IsInf(v, 0) {
-		r.bad = true
-	}
-	return v
-}
-
-func (r *reader) small() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 || v > math.MaxUint16 {
-		r.bad, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
 // Restore puts in a state that was kept, before the first event. Of one reservation the last one counts.
 func (l *Ledger) Restore(state []byte) error {
 	if len(state) < 18 || state[0] != stateVersion {
 		return fmt.Errorf("reserve: a state of %d bytes and version %v, want version %d", len(state), state[:min(1, len(state))], stateVersion)
 	}
-	r := &reader{b: state[1:]}
-	id, era := r.u64(), r.u64()
-	flags := r.b[0]
-	r.b = r.b[1:]
+	r := &pack.Reader{B: state[1:]}
+	id, era := r.U64(), r.U64()
+	flags := r.Byte()
 	delete(l.holds, id)
 	h := l.hold(id)
 	h.era, h.minted, h.ended = era, flags&1 > 0, flags&2 > 0
-	h.cut, h.free = r.float(), r.float()
-	for n := r.small(); n > 0 && !r.bad; n-- {
-		k := key{from: int(r.small())}
-		k.era = r.u64()
-		h.sent[k] = &sent{total: r.float(), gap: againAfter}
-	}
-	for n := r.small(); n > 0 && !r.bad; n-- {
-		k := key{from: int(r.small())}
-		k.era = r.u64()
-		h.got[k] = r.float()
-	}
-	if r.bad {
+	h.cut, h.free = r.Float(), r.Float()
+	for n := r.Uvarint(math.MaxUint16); n > 0 && !r.Bad; n-- {
+		k := key{from: int(r.Uvarint(math.MaxUint16))}
+		k.era = r.U64()
+		h.sent[k] = &sent{total: r.Float(), gap: againAfter}
+	}
+	for n := r.Uvarint(math.MaxUint16); n > 0 && !r.Bad; n-- {
+		k := key{from: int(r.Uvarint(math.MaxUint16))}
+		k.era = r.U64()
+		h.got[k] = r.Float()
+	}
+	if r.Bad {
 		delete(l.holds, id)
 		return fmt.Errorf("reserve: a state of %d bytes is cut", len(state))
 	}
@@ -924,11 +887,11 @@
 }
 
 func appendOffer(id uint64, tokens float64) []byte {
-	return appendFloat(appendWords(msgOffer, id), tokens)
+	return pack.Float(appendWords(msgOffer, id), tokens)
 }
 
 func appendAsk(id, no, era uint64, tokens, room float64) []byte {
-	return appendFloat(appendFloat(appendWords(msgAsk, id, no, era), tokens), room)
+	return pack.Float(pack.Float(appendWords(msgAsk, id, no, era), tokens), room)
 }
 
 func (l *Ledger) give(h *hold, to key, no uint64, room float64) []byte {
@@ -937,9 +900,9 @@
 	if t := h.sent[to]; t != nil {
 		total = t.total
 	}
-	b = appendFloat(appendFloat(appendFloat(b, total), room), max(0, h.free))
+	b = pack.Float(pack.Float(pack.Float(b, total), room), max(0, h.free))
 	who, free := l.richest(h, to.from)
-	return appendFloat(binary.LittleEndian.AppendUint64(b, uint64(who+1)), free)
+	return pack.Float(binary.LittleEndian.AppendUint64(b, uint64(who+1)), free)
 }
 
 // richest is the gateway that has most, by what they told lately; -1: none is known. Whoever asks is told of it, or
@@ -960,23 +923,23 @@
 	if e.From < 0 || e.From >= l.s.Gateways || e.From == l.s.Rank || len(e.Data) == 0 {
 		return
 	}
-	r := &reader{b: e.Data[1:]}
-	id := r.u64()
+	r := &pack.Reader{B: e.Data[1:]}
+	id := r.U64()
 	switch e.Data[0] {
 	case msgOffer:
-		tokens := r.float()
-		if h := l.holds[id]; !r.bad && h != nil && h.known && !h.ended && !l.drained && tokens > 0 && l.mayAsk() {
+		tokens := r.Float()
+		if h := l.holds[id]; !r.Bad && h != nil && h.known && !h.ended && !l.drained && tokens > 0 && l.mayAsk() {
 			l.sendAsk(h, e.From, tokens, 0)
 		}
 	case msgAsk:
-		no, era, tokens, room := r.u64(), r.u64(), r.float(), r.float()
-		if h := l.holds[id]; !r.bad && h != nil {
+		no, era, tokens, room := r.U64(), r.U64(), r.Float(), r.Float()
+		if h := l.holds[id]; !r.Bad && h != nil {
 			l.asked(h, key{e.From, era}, no, tokens, room)
 		}
 	case msgGive:
-		no, era, mine, total, room, left := r.u64(), r.u64(), r.u64(), r.float(), r.float(), r.float()
-		rich, has := r.u64(), r.float()
-		if h := l.holds[id]; !r.bad && h != nil && mine == h.era {
+		no, era, mine, total, room, left := r.U64(), r.U64(), r.U64(), r.Float(), r.Float(), r.Float()
+		rich, has := r.U64(), r.Float()
+		if h := l.holds[id]; !r.Bad && h != nil && mine == h.era {
 			if i := int(rich) - 1; rich > 0 && rich <= uint64(l.s.Gateways) && i != l.s.Rank && i != e.From {
 				if p := &h.peers[i]; l.now.Mono-p.heard > emptyFor && has > p.free {
 					p.free, p.emptyAt, p.emptyFor = has, 0, 0
@@ -985,8 +948,8 @@
 			l.got(h, key{e.From, era}, no, total, room, left)
 		}
 	case msgThanks:
-		era, theirs, total := r.u64(), r.u64(), r.float()
-		if h := l.holds[id]; !r.bad && h != nil && era == h.era {
+		era, theirs, total := r.U64(), r.U64(), r.Float()
+		if h := l.holds[id]; !r.Bad && h != nil && era == h.era {
 			if t := h.sent[key{e.From, theirs}]; t != nil {
 				t.acked = max(t.acked, min(t.total, total))
 			}
@@ -1062,7 +1025,7 @@
 	if total == 0 {
 		return
 	}
-	thanks := appendFloat(appendWords(msgThanks, h.ID, k.era, h.era), max(total, h.got[k]))
+	thanks := pack.Float(appendWords(msgThanks, h.ID, k.era, h.era), max(total, h.got[k]))
 	if news <= 0 {
 		l.later(l.keepNo, k.from, thanks)
 		return
--- a/standin/remotewrite/remotewrite.go
+++ b/standin/remotewrite/remotewrite.go
@@ -3,6 +3,7 @@
 package remotewrite
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/golang/snappy"
+	"google.golang.org/protobuf/proto"
 
 	"winghatch/remotewrite"
 )
@@ -38,6 +40,47 @@
 	Count uint64 // of a native histogram ...
 	Sum   float64
 	Hist  bool
+	proto []byte // of a native histogram, as it came
+}
+
+// Recorded is a series as Record writes it, a line of JSON each. Where H is not empty the series is of native histograms, each
+// an io.prometheus.write.v2.Histogram.
+type Recorded struct {
+	Labels map[string]string `json:"labels"`
+	At     []int64           `json:"t"` // Unix ms
+	V      []string          `json:"v,omitempty"`
+	H      [][]byte          `json:"h,omitempty"`
+}
+
+// Record writes all series whose name begins so.
+func (r *Receiver) Record(w io.Writer, prefix string) error {
+	for _, n := range r.Names() {
+		if !strings.HasPrefix(n, prefix) {
+			continue
+		}
+		r.mu.Lock()
+		rec := Recorded{Labels: r.labels[n]}
+		for _, p := range r.series[n] {
+			rec.At = append(rec.At, p.At)
+			switch {
+			case p.Hist:
+				rec.H = append(rec.H, p.proto)
+			case remotewrite.IsStale(p.Value):
+				rec.At = rec.At[:len(rec.At)-1] // a series that ends just ends
+			default:
+				rec.V = append(rec.V, strconv.FormatFloat(p.Value, 'g', -1, 64))
+			}
+		}
+		r.mu.Unlock()
+		raw, err := json.Marshal(rec)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(append(raw, '\n')); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Receiver is a running one.
@@ -47,6 +90,7 @@
 
 	mu       sync.Mutex
 	series   map[string][]Point // by name{label="value",...}
+	labels   map[string]map[string]string
 	trouble  Trouble
 	Batches  map[string]int // by version
 	Bytes    int
@@ -60,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Receiver{addr: ln.Addr().String(), series: map[string][]Point{}, Batches: map[string]int{}}
+	r := &Receiver{addr: ln.Addr().String(), series: map[string][]Point{}, labels: map[string]map[string]string{}, Batches: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/v1/write", r.take)
 	mux.HandleFunc("GET /series", func(w http.ResponseWriter, _ *http.Request) {
@@ -202,6 +246,14 @@
 			floats--
 			hists++
 			p.Hist, p.Count, p.Sum = true, s.Hist.GetCountInt(), s.Hist.Sum
+			p.proto, _ = proto.Marshal(s.Hist)
+		}
+		if r.labels[names[i]] == nil {
+			m := map[string]string{}
+			for _, l := range s.Series.Labels {
+				m[l.Name] = l.Value
+			}
+			r.labels[names[i]] = m
 		}
 		ps := r.series[names[i]]
 		if len(ps) > 0 && s.At <= ps[len(ps)-1].At {
