Traces by OTLP, chosen by a call's outcome; exemplars join histograms to them

Need: measures tell that calls are slow or refused, a trace tells why one was.

Measured by tests: parents and times of spans, the reason of a refusal, an exemplar that names the trace; 50 calls served while the receiver of traces is away.

--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,7 @@
 	Caps     Caps
 	Export   Export
 	Measures Measures
+	Traces   Traces
 	Log      Log
 }
 
@@ -52,6 +53,15 @@
 	Old     bool // speak remote write 1.0
 }
 
+// Traces say which calls are told as traces, and where. Without a URL none are.
+type Traces struct {
+	To      string  // URL of an OTLP receiver
+	Share   float64 // of calls that were served in time
+	Rate    float64 // a second, of all that were refused, failed or late
+	Queue   int     // spans that wait at most
+	Timeout time.Duration
+}
+
 // Export says where use is told and how surely. Without a URL nothing is exported.
 type Export struct {
 	To         string // URL of the receiver
@@ -171,7 +181,8 @@
 		Queue: 1 << 20, Handshake: 5 * time.Second, Write: 5 * time.Second, Ping: 15 * time.Second, NodeConns: 4, NodeCalls: 256,
 		NodeIdle: 30 * time.Second}, Export: Export{Durability: wal.Interval, Every: 100 * time.Millisecond, Disk: 512 << 20,
 		Batch: 500, Timeout: 10 * time.Second}, Measures: Measures{Every: 15 * time.Second, Timeout: 10 * time.Second, MaxAge: time.Hour,
-		Queue: 100000, Memory: 32 << 20, Batch: 2000, Shards: 2, Members: 200}, Log: Log{Level: "info"}}
+		Queue: 100000, Memory: 32 << 20, Batch: 2000, Shards: 2, Members: 200},
+		Traces: Traces{Share: 0.01, Rate: 20, Queue: 2048, Timeout: 5 * time.Second}, Log: Log{Level: "info"}}
 	f.Decide.Limits = decide.Limits{MaxAttempts: 3, Cancel: true, RetryAfter: true,
 		MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond}
 	f.Decide.Safety = decide.Safety{AnswerSlack: 20 * time.Millisecond, DrainGrace: 250 * time.Millisecond}
@@ -233,8 +244,14 @@
 		"safety":   func(at string, n *kdl.Node) { d.safety(at, n, &c.Safety) },
 		"prices":   func(at string, n *kdl.Node) { d.prices(at, n, &c.Prices) },
 		"measures": func(at string, n *kdl.Node) { d.measures(at, n, &f.Measures) },
-		"export":   func(at string, n *kdl.Node) { d.export(at, n, &f.Export) },
-		"caps":     func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
+		"traces": func(at string, n *kdl.Node) {
+			d.Plain(at, n)
+			t := &f.Traces
+			d.Block(at, n, decode.Fields{"to": address(&t.To), "share": decode.Number(&t.Share, 0, 1), "rate": decode.Rate(&t.Rate),
+				"queue": decode.Whole(&t.Queue, 1, 1<<20), "timeout": decode.Duration(&t.Timeout, time.Millisecond)}, nil, "to")
+		},
+		"export": func(at string, n *kdl.Node) { d.export(at, n, &f.Export) },
+		"caps":   func(at string, n *kdl.Node) { d.caps(at, n, &f.Caps) },
 	}, d.must("secret")...)
 	c.Gateways = len(f.Gateways)
 	if len(f.Gateways) == 0 && !d.draft {
--- a/config/format.go
+++ b/config/format.go
@@ -66,6 +66,15 @@
 	w.number("counter", p.Counter)
 	w.close()
 	w.caps(f.Caps)
+	if t := f.Traces; t.To != "" {
+		w.open("traces")
+		w.text("to", t.To)
+		w.number("share", t.Share)
+		w.rate("rate", t.Rate)
+		w.set("queue", strconv.Itoa(t.Queue))
+		w.duration("timeout", t.Timeout)
+		w.close()
+	}
 	if m := f.Measures; m.On {
 		w.open("measures")
 		w.text("to", m.To)
--- a/front/front.go
+++ b/front/front.go
@@ -30,20 +30,21 @@
 
 // Call is what a front makes of a client's message.
 type Call struct {
-	ID       string // of the gateway's own making, never used twice
-	Class    string
-	Plan     string
-	Member   string
-	Key      string // by which nodes know a repeat; empty: none
-	Units    float64
-	Deadline time.Duration // by the gateway's clock
-	First    int
-	Spread   int
-	Again    bool
-	Write    bool
-	Reserved bool            // it is to use units that were set aside for its member
-	Work     json.RawMessage // the work's own fields
-	Done     func(Final)     // called at most once, by the loop; must not block
+	ID          string // of the gateway's own making, never used twice
+	Class       string
+	Plan        string
+	Member      string
+	Key         string // by which nodes know a repeat; empty: none
+	Units       float64
+	Deadline    time.Duration // by the gateway's clock
+	First       int
+	Spread      int
+	Again       bool
+	Write       bool
+	Reserved    bool            // it is to use units that were set aside for its member
+	TraceParent string          // W3C Trace Context; empty: none was given
+	Work        json.RawMessage // the work's own fields
+	Done        func(Final)     // called at most once, by the loop; must not block
 }
 
 // Core takes calls; the gateway's loop does.
--- a/front/websocket/session.go
+++ b/front/websocket/session.go
@@ -98,14 +98,15 @@
 
 // params is what a client says of a call.
 type params struct {
-	Units    *float64
-	Deadline *float64 // the time left, ms
-	At       *float64 // by the client's own clock, of any origin, ms
-	Key      string
-	Again    bool
-	Write    bool
-	Reserved bool
-	Work     json.RawMessage
+	Units       *float64
+	Deadline    *float64 // the time left, ms
+	At          *float64 // by the client's own clock, of any origin, ms
+	Key         string
+	Again       bool
+	Write       bool
+	Reserved    bool
+	TraceParent string
+	Work        json.RawMessage
 }
 
 func (p *params) read(raw json.RawMessage) error {
@@ -136,6 +137,8 @@
 			to = &p.Write
 		case "reserved":
 			to = &p.Reserved
+		case "traceparent":
+			to = &p.TraceParent
 		default:
 			return fmt.Errorf("params.%.40s: unknown field", name)
 		}
@@ -223,7 +226,7 @@
 func (c *session) call(now time.Duration, it *jsonrpc.Item, k *decide.Class, p *params, answer func([]byte)) {
 	id, quiet := it.ID, it.Notification()
 	call := &front.Call{ID: c.s.nextID(), Class: k.Name, Plan: c.member.Plan, Member: c.member.Name, Key: p.Key,
-		Units: 1, First: c.member.First, Spread: c.member.Spread, Again: p.Again, Write: p.Write, Reserved: p.Reserved,
+		Units: 1, First: c.member.First, Spread: c.member.Spread, Again: p.Again, Write: p.Write, Reserved: p.Reserved, TraceParent: p.TraceParent,
 		Work: p.Work}
 	if p.Units != nil {
 		call.Units = *p.Units
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -158,6 +158,13 @@
 			return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
 		}
 	}
+	if f.Traces.To != "" {
+		if g.loop.traces, err = openTraces(f, o.Rank, g.clock.Now(), o.Seed, g.log); err != nil {
+			g.loop.books.close()
+			return nil, fmt.Errorf("gateway %d: traces: %w", o.Rank, err)
+		}
+	}
+	g.loop.homes = !o.Core.View().Mesh
 	if f.Measures.On {
 		g.loop.sums, g.loop.measures = g.openSums(uint64(g.epoch), o.Seed), g.openMeasures()
 		if f.Measures.To != "" {
@@ -275,6 +282,9 @@
 	if g.loop.owed != nil {
 		g.loop.owed.close()
 	}
+	if g.loop.traces != nil {
+		g.loop.traces.close()
+	}
 }
 
 // State is what an operator is told.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"winghatch/decide"
 	"winghatch/export"
 	"winghatch/front"
@@ -20,6 +22,7 @@
 	"winghatch/reserve"
 	"winghatch/sums"
 	"winghatch/tape"
+	"winghatch/traces"
 	"winghatch/upstream"
 )
 
@@ -66,8 +69,16 @@
 	finished bool
 	at       time.Duration
 
-	reserving bool    // it waits for units that are set aside; the core does not know it yet
-	used      float64 // of units set aside, by the tries that have ended
+	reserving bool // it waits for units that are set aside; the core does not know it yet
+	// Of its trace, if there are traces.
+	trace    traces.Context
+	sampled  bool
+	end      time.Duration
+	outcome  string
+	reason   string
+	answered float64
+
+	used float64 // of units set aside, by the tries that have ended
 }
 
 // try is an attempt.
@@ -82,6 +93,7 @@
 	owe   export.ID // its name at the export's desk; 0: nothing is exported of it
 	took  time.Duration
 	ended string // its outcome
+	span  trace.SpanID
 
 	held   bool // it is not handed to the nodes' connections yet, as its intent is not durable
 	denied bool // it never will be; its end is on its way
@@ -139,6 +151,8 @@
 	owed     *owed         // nil: nothing is exported
 	measures *measures.Set // nil: nothing is measured
 	sums     *sums.Summer  // nil as measures
+	traces   *traced       // nil: no traces
+	homes    bool          // customers have homes
 	done     chan struct{}
 	quit     chan struct{}
 }
@@ -264,6 +278,7 @@
 			o.finished = true
 			l.Counters.Gone.Add(1)
 			l.Open.Add(-1)
+			l.finalTrace(o, "gone", "", 0)
 			l.measureFinal(o, "gone", front.Final{})
 			if !o.reserving {
 				l.handle(decide.ClientGone{ID: in.id})
@@ -343,6 +358,9 @@
 func (l *Loop) request(c *front.Call) {
 	o := &open{Call: c, at: l.now}
 	l.opens[c.ID] = o
+	if l.traces != nil {
+		o.trace = traces.Accept(c.TraceParent, l.traces.rng)
+	}
 	if l.refuseUncovered(o) {
 		return
 	}
@@ -436,6 +454,7 @@
 	case front.Failed:
 		l.Failed.Add(1)
 	}
+	l.finalTrace(o, f.Kind.String(), f.Reason, f.Units)
 	l.measureFinal(o, f.Kind.String(), f)
 	if l.chatty {
 		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
@@ -452,6 +471,7 @@
 func (l *Loop) forget(o *open) {
 	if o.finished && o.out == 0 && l.opens[o.ID] == o {
 		delete(l.opens, o.ID)
+		l.tellTrace(o)
 		if o.Reserved && l.books != nil {
 			l.books.toLedger(reserve.Ended{ID: o.ID, Used: o.used})
 		}
@@ -522,6 +542,9 @@
 	l.measureSend(o)
 	t := &try{o: o, n: len(o.tries), node: a.Server, at: l.now}
 	o.tries = append(o.tries, t)
+	if l.traces != nil {
+		t.span = traces.NewSpan(l.traces.rng)
+	}
 	o.out++
 	left := o.Deadline - l.now
 	if a.Timeout > 0 {
@@ -559,6 +582,9 @@
 	b = strconv.AppendFloat(b, o.Units, 'g', -1, 64)
 	b = append(b, `,"timeout_ms":`...)
 	b = strconv.AppendFloat(b, float64(left)/float64(time.Millisecond), 'f', 3, 64)
+	if o.trace.Span.IsValid() {
+		b = append(append(append(b, `,"traceparent":"`...), o.trace.Parentage(o.tries[n].span)...), '"')
+	}
 	if len(o.Work) > 0 {
 		b = append(append(b, `,"work":`...), o.Work...)
 	}
--- a/gateway/measured.go
+++ b/gateway/measured.go
@@ -93,9 +93,9 @@
 
 // measureEnd counts an attempt's end.
 func (l *Loop) measureEnd(t *try, res upstream.Result) {
+	t.took, t.ended = l.now-t.at, outcomeNames[res.Outcome]
 	if l.measures != nil {
-		l.measures.Attempt(t.o.Class, outcomeNames[res.Outcome], l.now-t.at)
-		t.took, t.ended = l.now-t.at, outcomeNames[res.Outcome]
+		l.measures.Attempt(t.o.Class, t.ended, t.took)
 	}
 }
 
@@ -117,6 +117,9 @@
 		return
 	}
 	c := measures.Call{Class: o.Class, Plan: l.planOf(o), Member: o.Member, Outcome: outcome, Reason: f.Reason, Units: f.Units, Took: l.now - o.at}
+	if o.sampled {
+		c.Trace = o.trace.Trace.String()
+	}
 	if outcome == "served" {
 		for _, t := range o.tries {
 			if t.ended == "ok" {
--- /dev/null
+++ b/gateway/traced_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/config"
+	"winghatch/standin/node"
+	"winghatch/standin/otlp"
+	"winghatch/standin/remotewrite"
+)
+
+// TestTraces follows a client's trace through a call with a failed attempt, finds the cause of a refusal in its span and the
+// trace of a histogram's exemplar, and holds nobody up while the receiver is away.
+func TestTraces(t *testing.T) {
+	recv, err := otlp.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer recv.Stop()
+	meter, err := remotewrite.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer meter.Stop()
+	b := newBench(t, 2, func(f *config.Fleet) {
+		f.Traces.To, f.Traces.Share, f.Traces.Rate, f.Traces.Queue, f.Traces.Timeout = recv.URL(), 0, 100, 2048, time.Second
+		f.Measures.On, f.Measures.To, f.Measures.Every = true, meter.URL(), 50*time.Millisecond
+	})
+	c := b.dial(b.key)
+	if n, last := c.serve(20, `{}`); n != 20 { // served in time and asked for by nobody: share is 0
+		t.Fatal(last)
+	}
+	for _, n := range b.nodes {
+		n.Set(func(x *node.Trouble) { x.Errors = 1 })
+	}
+	const traceID, parent = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
+	ctx := `{"traceparent":"00-` + traceID + `-` + parent + `-01"}`
+	c.send(call("bad", "look", ctx))
+	bad := c.read()
+	for _, n := range b.nodes {
+		n.Set(func(x *node.Trouble) { x.Errors = 0 })
+	}
+	c.send(call("good", "look", ctx))
+	if s := c.read(); !strings.Contains(s, `"result"`) || strings.Contains(bad, `"result"`) {
+		t.Fatal(bad, s)
+	}
+	poor := b.dial("poor")
+	poor.serve(5, `{}`)
+	var refused otlp.Span
+	eventually(t, "the spans are there", func() bool {
+		calls := 0
+		for _, s := range recv.Spans() {
+			if s.Trace == traceID && s.Name == "look" {
+				calls++
+			}
+			if s.Attrs["winghatch.reason"] == "over_mark" {
+				refused = s
+			}
+		}
+		return calls == 2 && refused.Trace != ""
+	})
+	attempts, good := 0, 0
+	byID := map[string]otlp.Span{}
+	for _, s := range recv.Spans() {
+		byID[s.ID] = s
+	}
+	for _, s := range recv.Spans() {
+		if s.Trace != traceID {
+			if s.Attrs["winghatch.outcome"] == "served" && s.Name == "look" {
+				t.Errorf("a call in time that nobody sampled is told: %+v", s)
+			}
+			continue
+		}
+		switch s.Name {
+		case "look":
+			if s.Parent != parent || s.Attrs["winghatch.member"] != "m" {
+				t.Errorf("%+v", s)
+			}
+			if s.Attrs["winghatch.outcome"] == "served" {
+				good++
+			}
+		case "attempt":
+			attempts++
+			p := byID[s.Parent]
+			if p.Name != "look" || s.Start.Before(p.Start) || s.End.Before(s.Start) || s.Error != (s.Attrs["winghatch.outcome"] != "ok") {
+				t.Errorf("%+v under %+v", s, p)
+			}
+		}
+	}
+	if good != 1 || attempts < 2 {
+		t.Errorf("%d served, %d attempts", good, attempts)
+	}
+	eventually(t, "an exemplar joins the histogram to the trace", func() bool { return slices.Contains(meter.Traces(), traceID) })
+
+	recv.Set(503)
+	began := time.Now()
+	if n, last := c.serve(50, ctx); n != 50 {
+		t.Error(last)
+	}
+	if took := time.Since(began); took > 20*time.Second {
+		t.Errorf("50 calls took %v while the receiver was away", took)
+	}
+}
--- a/measures/measures.go
+++ b/measures/measures.go
@@ -159,6 +159,7 @@
 	Units               float64
 	Took                time.Duration
 	AtNode              time.Duration // of the attempt that served it
+	Trace               string        // of the trace that tells it; empty: none does
 }
 
 // Final counts a call's end.
@@ -171,7 +172,12 @@
 		s.calls[k] = n
 	}
 	n.Inc()
-	s.callTime.WithLabelValues(c.Class, c.Outcome).Observe(c.Took.Seconds())
+	h := s.callTime.WithLabelValues(c.Class, c.Outcome)
+	if c.Trace == "" {
+		h.Observe(c.Took.Seconds())
+	} else { // the exemplar joins the histogram to the trace
+		h.(prometheus.ExemplarObserver).ObserveWithExemplar(c.Took.Seconds(), prometheus.Labels{"trace_id": c.Trace})
+	}
 	switch c.Outcome {
 	case "served":
 		s.added.Observe(max(0, c.Took-c.AtNode).Seconds())
--- a/remotewrite/codec.go
+++ b/remotewrite/codec.go
@@ -4,6 +4,7 @@
 package remotewrite
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -24,14 +25,23 @@
 	Help   string
 	Start  int64 // Unix ms at which a counter or histogram began; 0: not told
 	hash   uint64
+	told   int64 // of the newest exemplar that was taken
 }
 
 // Sample is a value or a native histogram of a series.
 type Sample struct {
-	Series *Series
-	At     int64 // Unix ms
+	Series    *Series
+	At        int64 // Unix ms
+	Value     float64
+	Hist      *writev2.Histogram
+	Exemplars []Exemplar // newer than the last that was sent
+}
+
+// Exemplar joins a value to a trace.
+type Exemplar struct {
+	Labels []Label
 	Value  float64
-	Hist   *writev2.Histogram
+	At     int64
 }
 
 // StaleNaN marks that a series ends; it is Prometheus' own bit pattern.
@@ -64,6 +74,13 @@
 		} else {
 			ts.Samples = []*writev2.Sample{{Value: s.Value, Timestamp: s.At}}
 		}
+		for _, e := range s.Exemplars {
+			x := &writev2.Exemplar{Value: e.Value, Timestamp: e.At}
+			for _, l := range e.Labels {
+				x.LabelsRefs = append(x.LabelsRefs, t.Symbolize(l.Name), t.Symbolize(l.Value))
+			}
+			ts.Exemplars = append(ts.Exemplars, x)
+		}
 		req.Timeseries = append(req.Timeseries, ts)
 	}
 	req.Symbols = t.Symbols()
@@ -197,11 +214,23 @@
 			}
 			s.Labels = append(s.Labels, Label{req.Symbols[n], req.Symbols[v]})
 		}
+		var es []Exemplar
+		for _, e := range ts.Exemplars {
+			x := Exemplar{Value: e.Value, At: e.Timestamp}
+			for i := 0; i+1 < len(e.LabelsRefs); i += 2 {
+				n, v := int(e.LabelsRefs[i]), int(e.LabelsRefs[i+1])
+				if n >= len(req.Symbols) || v >= len(req.Symbols) {
+					return nil, errSymbol
+				}
+				x.Labels = append(x.Labels, Label{req.Symbols[n], req.Symbols[v]})
+			}
+			es = append(es, x)
+		}
 		for _, x := range ts.Samples {
 			out = append(out, Sample{Series: s, At: x.Timestamp, Value: x.Value})
 		}
 		for _, h := range ts.Histograms {
-			out = append(out, Sample{Series: s, At: h.Timestamp, Hist: h})
+			out = append(out, Sample{Series: s, At: h.Timestamp, Hist: h, Exemplars: es})
 		}
 	}
 	return out, nil
@@ -229,7 +258,8 @@
 						&Sample{Series: c.series(f, m, "_sum", writev2.Metadata_METRIC_TYPE_HISTOGRAM), At: at, Value: h.GetSampleSum()})
 					continue
 				}
-				out = append(out, &Sample{Series: c.series(f, m, "", writev2.Metadata_METRIC_TYPE_HISTOGRAM), At: at, Hist: hist(h, at)})
+				s := c.series(f, m, "", writev2.Metadata_METRIC_TYPE_HISTOGRAM)
+				out = append(out, &Sample{Series: s, At: at, Hist: hist(h, at), Exemplars: s.exemplars(h)})
 			case dto.MetricType_SUMMARY:
 				s := m.GetSummary()
 				out = append(out, &Sample{Series: c.series(f, m, "_count", writev2.Metadata_METRIC_TYPE_SUMMARY), At: at, Value: float64(s.GetSampleCount())},
@@ -263,6 +293,26 @@
 	return s
 }
 
+// exemplars are a histogram's that are newer than those of the gathering before.
+func (s *Series) exemplars(h *dto.Histogram) (out []Exemplar) {
+	last := s.told
+	for _, e := range h.Exemplars {
+		at := e.GetTimestamp().AsTime().UnixMilli()
+		if at <= s.told {
+			continue
+		}
+		x := Exemplar{Value: e.GetValue(), At: at}
+		for _, l := range e.Label {
+			x.Labels = append(x.Labels, Label{l.GetName(), l.GetValue()})
+		}
+		last = max(last, at)
+		out = append(out, x)
+	}
+	slices.SortFunc(out, func(a, b Exemplar) int { return cmp.Compare(a.At, b.At) })
+	s.told = last
+	return out
+}
+
 func hist(h *dto.Histogram, at int64) *writev2.Histogram {
 	spans := func(in []*dto.BucketSpan) (out []*writev2.BucketSpan) {
 		for _, s := range in {
--- a/standin/remotewrite/remotewrite.go
+++ b/standin/remotewrite/remotewrite.go
@@ -92,6 +92,7 @@
 	series   map[string][]Point // by name{label="value",...}
 	labels   map[string]map[string]string
 	trouble  Trouble
+	traces   []string       // of exemplars
 	Batches  map[string]int // by version
 	Bytes    int
 	Samples  int
@@ -152,6 +153,13 @@
 	return append([]Point(nil), r.series[name]...)
 }
 
+// Traces are the trace ids of exemplars that came.
+func (r *Receiver) Traces() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.traces...)
+}
+
 // Sum adds the last values, markers aside, of all series whose name begins so and that have all labels.
 func (r *Receiver) Sum(metric string, labels ...string) (sum float64) {
 	for _, n := range r.Names() {
@@ -247,6 +255,13 @@
 			hists++
 			p.Hist, p.Count, p.Sum = true, s.Hist.GetCountInt(), s.Hist.Sum
 			p.proto, _ = proto.Marshal(s.Hist)
+			for _, e := range s.Exemplars {
+				for _, l := range e.Labels {
+					if l.Name == "trace_id" {
+						r.traces = append(r.traces, l.Value)
+					}
+				}
+			}
 		}
 		if r.labels[names[i]] == nil {
 			m := map[string]string{}
