--- a/decide/view.go
+++ b/decide/view.go
@@ -62,7 +62,7 @@
 	if g.stoodAt > 0 {
 		v.Stood = g.stood
 	}
-	if g.begun {
+	if g.begun && g.all.serving > 0 { // without a server there is no cap to be pressed against
 		v.Pressed = g.pressed()
 	}
 	least := make([]float64, len(g.cfg.Classes))
--- a/gateway/books.go
+++ b/gateway/books.go
@@ -32,6 +32,9 @@
 // snapshotEvery is how many records the books' log grows by before a snapshot lets it go.
 const snapshotEvery = 4096
 
+// manyStands is how many members' terms of one change are logged one by one.
+const manyStands = 20
+
 // books carry out what the book of plans and the ledger of reservations want done, for the loop that owns them. Their
 // log syncs each record before it counts.
 type books struct {
@@ -157,6 +160,12 @@
 func (b *books) time() plans.Now { return plans.Now{Mono: b.l.now, Wall: b.wall()} }
 
 func (b *books) toBook(ev plans.Event) {
+	stands := 0
+	defer func() {
+		if stands > manyStands {
+			b.slog.Info("terms", "members", stands)
+		}
+	}()
 	for _, a := range b.book.Handle(b.time(), ev) {
 		switch a := a.(type) {
 		case plans.Keep:
@@ -174,7 +183,9 @@
 		case plans.Send:
 			b.send(a.To, chanPlans, a.Data)
 		case plans.Stand:
-			b.slog.Info("terms", "member", a.Member, "plan", a.Plan.Name, "rate", a.Plan.Rate, "burst", a.Plan.Burst, "change", a.Change)
+			if stands++; stands <= manyStands { // a plan's new terms are those of all who are on it
+				b.slog.Info("terms", "member", a.Member, "plan", a.Plan.Name, "rate", a.Plan.Rate, "burst", a.Plan.Burst, "change", a.Change)
+			}
 			b.l.handle(decide.Terms{Customer: a.Member, Plan: a.Plan})
 		case plans.Hold:
 			b.slog.Info("reservation", "member", a.Member, "number", a.Number, "units", a.Units)
--- a/gateway/books_test.go
+++ b/gateway/books_test.go
@@ -255,6 +255,14 @@
 	eventually(t, "it works again", func() bool { s := gw.State(); return s.BookLog == "" && s.Changes == 1 })
 }
 
+// TestStateWithoutNodes asks a gateway its state that knows no node: there is nothing to be pressed against.
+func TestStateWithoutNodes(t *testing.T) {
+	b := newBench(t, 0, func(f *config.Fleet) { f.Gateways[0].State = freePort(t); f.Measures.On = true })
+	if s := stateOf(b.fleet, 0); !strings.Contains(s, `"Mesh":true`) {
+		t.Errorf("%q", s)
+	}
+}
+
 func TestReadChanges(t *testing.T) {
 	good := `change number=1 kind=move member=a plan=gold from="2030-01-01T00:00:00Z"
 change number=2 kind=terms plan=gold rate="12/min" burst=5
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,7 +205,13 @@
 		mux := http.NewServeMux()
 		mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(g.State())
+			raw, err := json.Marshal(g.State())
+			if err != nil {
+				g.log.Error("the state can't be told", "err", err)
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			w.Write(raw)
 		})
 		if m := g.loop.measures; m != nil {
 			mux.Handle("GET /metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
