Export on a read-only disk, and a life above all in the log, are tested

Need: the issue names a read-only disk and a clock that steps back among the export's hard cases.

Change: a gateway starts on a disk that takes no file, refuses or serves uncovered by its policy and goes on when the disk does; a place that can't be a directory is named; a desk's life is above all in its log.

Measured: tests only.

--- a/export/export_test.go
+++ b/export/export_test.go
@@ -328,6 +328,19 @@
 	}
 }
 
+// TestLife takes a life above all in the log, whatever the clock gives for it: one that stepped back would else give keys again.
+func TestLife(t *testing.T) {
+	d := NewDesk(DeskSettings{Life: 5})
+	for i, a := range NewDesk(DeskSettings{Life: 9}).Begin(1) {
+		if err := d.Restore(uint64(i+1), a.(Append).Payload); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d.Begin(1); d.Life() != 10 {
+		t.Errorf("life %d, want 10", d.Life())
+	}
+}
+
 func TestEncode(t *testing.T) {
 	s := Settlement{Try: Try{Request: "r", Attempt: 2, Member: "m", Plan: "p", Class: "k", Node: "n:1", Units: 1, Reserved: true},
 		Intent: 4, Life: 9, Seq: 17, Outcome: Silent, Used: 1.5, Wall: 1e18}
--- a/gateway/owed_test.go
+++ b/gateway/owed_test.go
@@ -224,3 +224,34 @@
 		t.Error("rank 4 is drained")
 	}
 }
+
+// TestExportReadOnly starts on a disk that takes no file: it refuses, or serves uncovered, and goes on when the disk takes them;
+// a place that can't be a directory is an error that names it.
+func TestExportReadOnly(t *testing.T) {
+	for _, policy := range []export.Policy{export.Refuse, export.Serve} {
+		x := newCounted(t, func(f *config.Fleet) { f.Export.Unwritable = policy })
+		x.gw.Stop()
+		x.fs.readOnly.Store(true)
+		gw, err := Start(x.fleet, Options{Seed: 1, FS: x.fs})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.gw = gw
+		eventually(t, "it has the list", func() bool { return len(gw.State().Core.Servers) == 2 })
+		c := x.dial(x.key)
+		if n, last := c.serve(3, `{}`); n != map[export.Policy]int{export.Refuse: 0, export.Serve: 3}[policy] {
+			t.Errorf("policy %d: %d served: %s", policy, n, last)
+		}
+		x.fs.readOnly.Store(false)
+		eventually(t, "it works again", func() bool { s := gw.State().Export; return s.Failure == "" && !s.Refusing })
+		if n, last := c.serve(3, `{}`); n != 3 {
+			t.Error(last)
+		}
+	}
+	b := newBench(t, 1, nil)
+	b.gw.Stop()
+	b.fleet.Kept = "/dev/null/kept-%d"
+	if _, err := Start(b.fleet, Options{Seed: 1}); err == nil || !strings.Contains(err.Error(), "gateway 0: kept:") || !strings.Contains(err.Error(), "/dev/null") {
+		t.Errorf("%v, want the place named", err)
+	}
+}
--- a/gateway/process_test.go
+++ b/gateway/process_test.go
@@ -247,7 +247,8 @@
 // badDisk is a disk that may be full.
 type badDisk struct {
 	wal.Disk
-	bad atomic.Bool
+	bad      atomic.Bool // a write fails
+	readOnly atomic.Bool // so does making a file
 }
 
 type badFile struct {
@@ -256,6 +257,9 @@
 }
 
 func (d *badDisk) Create(name string) (wal.File, error) {
+	if d.readOnly.Load() {
+		return nil, syscall.EROFS
+	}
 	f, err := d.Disk.Create(name)
 	if err != nil {
 		return nil, err
