--- a/accounting/courier.go
+++ b/accounting/courier.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"sync"
@@ -29,10 +30,12 @@
 	Behind   uint64 // last record that the receiver has
 	Batch    int
 	Timeout  time.Duration
-	SetAside string // file that keeps events which the receiver will not take
-	Seed     int64
-	Acked    func(rec uint64) // from the courier's goroutine
-	Say      func(text string, args ...any)
+	SetAside string // file that keeps events which the receiver will not take ...
+	// ... up to so many bytes; then nothing more is sent until an operator has moved it away.
+	SetAsideMost int64
+	Seed         int64
+	Acked        func(rec uint64) // from the courier's goroutine
+	Say          func(text string, args ...any)
 	// Empty ends Run as soon as all that is durable is at the receiver.
 	Empty bool
 }
@@ -167,7 +170,13 @@
 	if err != nil {
 		return export.Stored{Err: err.Error()}
 	}
-	_, err = f.Write(append(a.Event.JSON, '\n'))
+	info, err := f.Stat()
+	if err == nil && info.Size()+int64(len(a.Event.JSON)) >= c.o.SetAsideMost {
+		err = fmt.Errorf("%s: %d bytes, %d at most: move it away", c.o.SetAside, info.Size(), c.o.SetAsideMost)
+	}
+	if err == nil {
+		_, err = f.Write(append(a.Event.JSON, '\n'))
+	}
 	if err == nil {
 		err = f.Sync()
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -45,6 +45,22 @@
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
 
+// eachSecond calls f until the program is interrupted.
+func eachSecond(f func()) {
+	ctx, stop := interrupted()
+	defer stop()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
+	}
+}
+
 type nodeCmd struct {
 	Listen string             `required:"" help:"host:port on loopback."`
 	Config string             `required:"" help:"The fleet's settings; the node does its classes."`
@@ -73,20 +89,14 @@
 	defer r.Stop()
 	r.Set(func(t *remotewrite.Trouble) { t.Status = c.Status })
 	fmt.Printf("takes writes at %s; all series at http://%s/series\n", r.URL(), r.Addr())
-	ctx, stop := interrupted()
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(time.Second):
-		}
+	eachSecond(func() {
 		line := fmt.Sprintf("series %d", len(r.Names()))
 		for _, m := range c.Show {
 			line += fmt.Sprintf(", %s %v", m, r.Sum(m))
 		}
 		fmt.Println(line)
-	}
+	})
+	return nil
 }
 
 type accountingCmd struct {
@@ -105,14 +115,7 @@
 	defer r.Stop()
 	r.Set(func(t *accounting.Trouble) { t.Status, t.RetryAfter, t.Slow = c.Status, c.RetryAfter, c.Slow })
 	fmt.Println("takes batches at", r.URL())
-	ctx, stop := interrupted()
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(time.Second):
-		}
+	eachSecond(func() {
 		units, guessed := map[string]float64{}, 0
 		evs := r.Events()
 		for _, e := range evs {
@@ -125,7 +128,8 @@
 			}
 		}
 		fmt.Printf("events %d, guessed %d, units %v\n", len(evs), guessed, units)
-	}
+	})
+	return nil
 }
 
 func (c *nodeCmd) Run() error {
--- a/cmd/winghatch/plan.go
+++ b/cmd/winghatch/plan.go
@@ -202,12 +202,16 @@
 	Member string `arg:"" optional:""`
 }
 
-func (c *planShowCmd) Run() error {
-	f, at, err := c.fleet()
-	if err != nil {
-		return err
+// history asks a gateway its book.
+func (a *asked) history(member string) (f *config.Fleet, at string, h gateway.History, err error) {
+	if f, at, err = a.fleet(); err == nil {
+		h, err = gateway.AskHistory(at, member)
 	}
-	h, err := gateway.AskHistory(at, c.Member)
+	return f, at, h, err
+}
+
+func (c *planShowCmd) Run() error {
+	f, at, h, err := c.history(c.Member)
 	if err != nil {
 		return err
 	}
@@ -239,11 +243,7 @@
 }
 
 func (c *planHistoryCmd) Run() error {
-	_, at, err := c.fleet()
-	if err != nil {
-		return err
-	}
-	h, err := gateway.AskHistory(at, c.Member)
+	_, _, h, err := c.history(c.Member)
 	if err != nil {
 		return err
 	}
--- a/export/desk.go
+++ b/export/desk.go
@@ -1,6 +1,7 @@
 package export
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -54,7 +55,7 @@
 	// Acked says that the receiver has all up to a record.
 	Acked struct{ Rec uint64 }
 
-	// Append asks for a record; ID is 0 where no answer is waited for.
+	// Append asks for a record; it is answered by Appended before anything else, unless ID is 0.
 	Append struct {
 		ID      ID
 		Payload []byte
@@ -85,10 +86,16 @@
 	settled *Settlement
 }
 
-// heldMost is how many settlements wait at most for a log that does not take them; of more the intents stay, which the
-// next life exports at their guess.
+// heldMost is how many settlements may wait for a log that does not take them before no further try is covered: so no more
+// come than those of tries that are out then.
 const heldMost = 20000
 
+// Names that no try has: of the settlements of former lives, from orphanFrom on, and of the gap.
+const (
+	orphanFrom = ID(1) << 62
+	gapID      = ID(1) << 63
+)
+
 // DeskSettings are what a desk starts from.
 type DeskSettings struct {
 	Policy Policy
@@ -112,6 +119,7 @@
 	wall     int64  // of the last settlement
 	gapTries uint64 // not told yet
 	gapUnits float64
+	telling  *Gap // appended, if the log takes it
 	Counts   Counts
 }
 
@@ -122,7 +130,6 @@
 	Denied                    uint64
 	Uncovered                 uint64 // tries
 	UncoveredUnits            float64
-	Dropped                   uint64 // settlements beyond heldMost
 }
 
 // NewDesk returns a desk that is to be told what its log holds by Restore, and then begun.
@@ -153,9 +160,10 @@
 }
 
 // Begin starts a life: its number, later than all in the log, and the settlements of what former lives left open, at
-// their guesses. They get keys of this life: which ones the former would have given is not known.
+// their guesses. They get keys of this life: which ones the former would have given is not known. They are owed like any
+// other until the log has taken them.
 func (d *Desk) Begin(wall int64) []DeskAction {
-	d.life = max(d.s.Life, d.lastOld+1)
+	d.life, d.wall = max(d.s.Life, d.lastOld+1), wall
 	d.ackedIn = d.acked
 	out := []DeskAction{Append{Payload: binary.AppendUvarint([]byte{recLife}, d.life)}}
 	recs := make([]uint64, 0, len(d.orphans))
@@ -163,15 +171,16 @@
 		recs = append(recs, rec)
 	}
 	slices.Sort(recs)
-	for _, rec := range recs {
+	for i, rec := range recs {
 		t := d.orphans[rec]
-		d.seq++
 		d.Counts.Orphans++
-		s := Settlement{Try: t, Intent: rec, Life: d.life, Seq: d.seq, Outcome: Orphan, Used: t.Units, Wall: wall}
-		out = append(out, Append{Payload: s.append(nil)})
+		id := orphanFrom + ID(i)
+		d.tries[id] = &entry{try: t, rec: rec, sent: true, covered: true,
+			settled: &Settlement{Try: t, Intent: rec, Life: d.life, Outcome: Orphan, Used: t.Units, Wall: wall}}
+		d.held = append(d.held, id)
 	}
 	clear(d.orphans)
-	return out
+	return append(out, d.again()...)
 }
 
 // Life is this life's number, once begun.
@@ -206,6 +215,7 @@
 				out = append(out, Release{id})
 			}
 		}
+		out = append(out, d.again()...)
 	case Broken:
 		return d.breaks(e.Why)
 	case Settle:
@@ -223,11 +233,42 @@
 func (d *Desk) intend(e Intend) []DeskAction {
 	t := &entry{try: e.Try}
 	d.tries[e.ID] = t
-	if d.broken != "" || !e.Room {
+	if d.broken != "" || !e.Room || len(d.held) >= heldMost {
 		return d.without(e.ID, t)
 	}
 	d.Counts.Intents++
-	return []DeskAction{Append{e.ID, t.try.append([]byte{recIntent})}}
+	return append(d.tellGap(), Append{e.ID, t.try.append([]byte{recIntent})})
+}
+
+// tellGap tells what was let pass uncovered, now that the log has room.
+func (d *Desk) tellGap() []DeskAction {
+	if d.gapTries == 0 || d.telling != nil {
+		return nil
+	}
+	d.seq++
+	d.telling = &Gap{Life: d.life, Seq: d.seq, Tries: d.gapTries, Units: d.gapUnits, Wall: d.wall}
+	d.gapTries, d.gapUnits = 0, 0
+	return []DeskAction{Append{gapID, d.telling.append(nil)}}
+}
+
+// hand hands a settlement in. Its number is the next one, and is taken back if the log does not take it: an Append is
+// answered before anything else happens, so none is left out.
+func (d *Desk) hand(id ID, t *entry) DeskAction {
+	if t.settled.Outcome != Skipped {
+		d.seq++
+		t.settled.Seq = d.seq
+	}
+	return Append{id, t.settled.append(nil)}
+}
+
+// again hands in the first of the settlements that the log did not take; once it has, the next one follows.
+func (d *Desk) again() []DeskAction {
+	if d.broken != "" || len(d.held) == 0 {
+		return nil
+	}
+	id := d.held[0]
+	d.held = d.held[1:]
+	return []DeskAction{d.hand(id, d.tries[id])}
 }
 
 // without decides a try whose intent can't be written.
@@ -243,13 +284,23 @@
 func (d *Desk) appended(e Appended) []DeskAction {
 	t := d.tries[e.ID]
 	switch {
+	case e.ID == gapID && d.telling != nil:
+		if e.Failed != "" {
+			d.gapTries, d.gapUnits = d.gapTries+d.telling.Tries, d.gapUnits+d.telling.Units
+			d.seq--
+		}
+		d.telling = nil
 	case t == nil:
 	case t.settled != nil: // its settlement
 		if e.Failed != "" {
-			d.hold(e.ID, t)
+			if t.settled.Outcome != Skipped {
+				d.seq--
+			}
+			d.held = append(d.held, e.ID)
 			return nil
 		}
 		delete(d.tries, e.ID)
+		return d.again()
 	case e.Failed != "":
 		return d.without(e.ID, t)
 	default:
@@ -259,16 +310,6 @@
 	return nil
 }
 
-// hold keeps a settlement until the log takes it.
-func (d *Desk) hold(id ID, t *entry) {
-	if len(d.held) >= heldMost {
-		d.Counts.Dropped++
-		delete(d.tries, id)
-		return
-	}
-	d.held = append(d.held, id)
-}
-
 // breaks takes that the log fails or works again. What waits for it to be durable was not sent, so by the policy it
 // may be denied, or sent: its intent may yet become durable, and its settlement will tell.
 func (d *Desk) breaks(why string) (out []DeskAction) {
@@ -282,20 +323,7 @@
 		d.waiting = nil
 		return out
 	}
-	if d.gapTries > 0 {
-		d.seq++
-		g := Gap{Life: d.life, Seq: d.seq, Tries: d.gapTries, Units: d.gapUnits, Wall: d.wall}
-		d.gapTries, d.gapUnits = 0, 0
-		out = append(out, Append{Payload: g.append(nil)})
-	}
-	held := d.held
-	d.held = nil
-	for _, id := range held {
-		if t := d.tries[id]; t != nil && t.settled != nil {
-			out = append(out, Append{id, t.settled.append(nil)})
-		}
-	}
-	return out
+	return append(d.tellGap(), d.again()...)
 }
 
 func (d *Desk) settle(e Settle) []DeskAction {
@@ -318,19 +346,16 @@
 	if !(s.Used >= 0) || math.IsInf(s.Used, 0) {
 		s.Used = t.try.Units
 	}
-	if e.Outcome == Skipped {
+	if t.settled = s; e.Outcome == Skipped {
 		d.Counts.Skipped++
 	} else {
-		d.seq++
-		s.Seq = d.seq
 		d.Counts.Settled++
 	}
-	t.settled = s
 	if d.broken != "" {
-		d.hold(e.ID, t)
+		d.held = append(d.held, e.ID)
 		return nil
 	}
-	return []DeskAction{Append{e.ID, s.append(nil)}}
+	return []DeskAction{d.hand(e.ID, t)}
 }
 
 // Snapshot is the state as of all records that were appended: the life, the records acknowledged and the intents that
@@ -344,7 +369,7 @@
 			open = append(open, t)
 		}
 	}
-	slices.SortFunc(open, func(a, b *entry) int { return int(min(1, max(-1, int64(a.rec)-int64(b.rec)))) })
+	slices.SortFunc(open, func(a, b *entry) int { return cmp.Compare(a.rec, b.rec) })
 	b = binary.AppendUvarint(b, uint64(len(open)))
 	for _, t := range open {
 		b = t.try.append(binary.AppendUvarint(b, t.rec))
--- a/gateway/books.go
+++ b/gateway/books.go
@@ -35,6 +35,16 @@
 // manyStands is how many members' terms of one change are logged one by one.
 const manyStands = 20
 
+// planOf is the plan that a call is served under, which changes in service may have made another than the settings'.
+func (l *Loop) planOf(o *open) string {
+	if b := l.books; b != nil {
+		if p := b.book.Stands(o.Member).Name; p != "" {
+			return p
+		}
+	}
+	return o.Plan
+}
+
 // books carry out what the book of plans and the ledger of reservations want done, for the loop that owns them. Their
 // log syncs each record before it counts.
 type books struct {
@@ -48,14 +58,14 @@
 	waits   []kept
 	lastRec uint64 // in the log
 	snapAt  uint64 // lastRec at the last snapshot
-	snaps   chan struct{}
 	replies map[uint64]func(plans.Reply)
 	token   uint64
-	now     plans.Now
 	bookAt  plans.Now // when each wants to be woken
 	ledgAt  plans.Now
+	unkept  uint64 // first state of the ledger that the log did not take; 0: none
 	failure string
 	closed  bool
+	handed  chan struct{} // of a stopping gateway; nil: it goes on, or all is handed over
 }
 
 // kept is a record on its way to the disk, and whom it concerns.
@@ -67,19 +77,18 @@
 
 // BookOptions tell a gateway's books who they are.
 type BookOptions struct {
-	Plans    plans.Settings
-	Reserve  reserve.Settings
-	Dir      string // empty: nothing is kept
-	FS       wal.FS
-	Wall     func() int64
-	Log      *slog.Logger
-	Capacity float64
+	Plans   plans.Settings
+	Reserve reserve.Settings
+	Dir     string // empty: nothing is kept
+	FS      wal.FS
+	Wall    func() int64
+	Log     *slog.Logger
 }
 
 // openBooks recovers the books from their log.
 func openBooks(l *Loop, o BookOptions) (*books, error) {
 	b := &books{l: l, book: plans.New(o.Plans), ledger: reserve.New(o.Reserve), wall: o.Wall, slog: o.Log,
-		replies: map[uint64]func(plans.Reply){}, snaps: make(chan struct{}, 1)}
+		replies: map[uint64]func(plans.Reply){}}
 	never := plans.Now{Mono: math.MaxInt64, Wall: math.MaxInt64}
 	b.bookAt, b.ledgAt = never, never
 	if o.Dir == "" {
@@ -89,17 +98,17 @@
 		Durable: func(no uint64) { l.q.post(inKept{no}) },
 		Failed:  func(err error) { l.q.post(inBookLog{err}) }},
 		func(r *wal.Recovery) error { return b.restoreAll(r.Snapshot) },
-		func(r wal.Record) error { return b.restore(r.Payload) })
+		func(r wal.Record) error {
+			if err := b.restore(r.Payload); err != nil {
+				return fmt.Errorf("record %d: %w", r.No, err)
+			}
+			return nil
+		})
 	if err != nil {
 		return nil, err
 	}
 	b.log, b.lastRec, b.snapAt = log, rec.Last, rec.Covered
-	for _, h := range rec.Holes {
-		o.Log.Error("the books' log has a hole", "dir", o.Dir, "hole", h.String())
-	}
-	if rec.Torn > 0 || len(rec.Snapshots) > 0 {
-		o.Log.Warn("the books' log was cut", "dir", o.Dir, "bytes", rec.Torn, "snapshots", rec.Snapshots)
-	}
+	rec.Report(o.Log, "books", o.Dir)
 	return b, nil
 }
 
@@ -181,7 +190,7 @@
 				f(a)
 			}
 		case plans.Send:
-			b.send(a.To, chanPlans, a.Data)
+			b.l.tell(a.To, chanPlans, a.Data)
 		case plans.Stand:
 			if stands++; stands <= manyStands { // a plan's new terms are those of all who are on it
 				b.slog.Info("terms", "member", a.Member, "plan", a.Plan.Name, "rate", a.Plan.Rate, "burst", a.Plan.Burst, "change", a.Change)
@@ -217,6 +226,12 @@
 	return out
 }
 
+// handOver offers what is set aside here to others; done is closed once they have all of it.
+func (b *books) handOver(done chan struct{}) {
+	b.handed = done
+	b.toLedger(reserve.Drain{})
+}
+
 func (b *books) toLedger(ev reserve.Event) {
 	for _, a := range b.ledger.Handle(b.time(), ev) {
 		switch a := a.(type) {
@@ -235,7 +250,7 @@
 		case reserve.Keep:
 			b.keep(recState, a.State, kept{state: a.No})
 		case reserve.Send:
-			b.send(a.To, chanReserve, a.Data)
+			b.l.tell(a.To, chanReserve, a.Data)
 		case reserve.Return:
 			b.slog.Info("reserved units return", "member", a.Member, "units", a.Units)
 			b.l.handle(decide.Terms{Customer: a.Member, Plan: b.book.Stands(a.Member), Return: a.Units})
@@ -243,25 +258,40 @@
 			b.ledgAt = a.At
 		}
 	}
+	if b.handed != nil && b.ledger.Owing() < 1e-9 {
+		close(b.handed)
+		b.handed = nil
+	}
 }
 
-func (b *books) send(to int, channel byte, data []byte) {
-	if b.l.peers != nil {
-		b.l.peers.Send(to, string(append([]byte{channel}, data...)))
+// tell sends what is not the core's own word to another gateway.
+func (l *Loop) tell(to int, channel byte, data []byte) {
+	if l.peers != nil {
+		l.peers.Send(to, string(append([]byte{channel}, data...)))
 	}
 }
 
-// heard takes what a peer said; false: it is a word for the core.
-func (b *books) heard(from int, text string) bool {
-	if len(text) == 0 || text[0] != chanPlans && text[0] != chanReserve {
-		return false
+// heard takes what another gateway said: by its first byte it is for the books, the sums or the core.
+func (l *Loop) heard(from int, text string) {
+	channel := byte(0)
+	if len(text) > 0 {
+		channel = text[0]
 	}
-	if text[0] == chanPlans {
-		b.toBook(plans.Heard{From: from, Data: []byte(text[1:])})
-	} else {
-		b.toLedger(reserve.Heard{From: from, Data: []byte(text[1:])})
+	switch {
+	case channel == chanPlans && l.books != nil:
+		l.books.toBook(plans.Heard{From: from, Data: []byte(text[1:])})
+	case channel == chanReserve && l.books != nil:
+		l.books.toLedger(reserve.Heard{From: from, Data: []byte(text[1:])})
+	case channel == chanSums:
+		if l.sums != nil {
+			l.sums.Heard(l.now, from, []byte(text[1:]))
+		}
+	default:
+		if l.measures != nil {
+			l.measures.Word(text, "in")
+		}
+		l.handle(decide.PeerMessage{From: from, Text: text})
 	}
-	return true
 }
 
 // keep writes a record; where nothing is kept it counts at once, in an event of its own.
@@ -279,7 +309,11 @@
 		if k.number != 0 {
 			b.l.q.post(inNotKept{k.number, err.Error()})
 		}
-		// What the ledger wants kept and is not stays without effect: fewer units can be used, never more.
+		// What the ledger wants kept and is not must stay without effect, and so must all that comes behind: its numbers
+		// tell of all before them. Fewer units can be used until the next life, never more.
+		if k.state != 0 && b.unkept == 0 {
+			b.unkept = k.state
+		}
 		return
 	}
 	b.lastRec, k.rec = no, no
@@ -294,23 +328,17 @@
 		switch {
 		case k.number != 0:
 			b.toBook(plans.Kept{Number: k.number})
-		case k.state != 0:
+		case k.state != 0 && (b.unkept == 0 || k.state < b.unkept):
 			b.toLedger(reserve.Kept{No: k.state})
 		}
 	}
 	if b.log != nil && len(b.waits) == 0 && b.lastRec-b.snapAt >= snapshotEvery {
 		b.snapAt = b.lastRec
-		state, no := b.snapshot(), b.lastRec
-		select {
-		case b.snaps <- struct{}{}:
-			go func() {
-				defer func() { <-b.snaps }()
-				if err := b.log.Snapshot(no, state); err != nil {
-					b.slog.Error("the books' snapshot failed", "err", err)
-				}
-			}()
-		default:
-		}
+		b.log.SnapshotSoon(b.lastRec, b.snapshot(), func(err error) {
+			if err != nil {
+				b.slog.Error("the books' snapshot failed", "err", err)
+			}
+		})
 	}
 }
 
@@ -344,7 +372,6 @@
 func (b *books) close() {
 	if b.log != nil && !b.closed {
 		b.closed = true
-		b.snaps <- struct{}{} // a snapshot under way ends first
 		if err := b.log.Close(); err != nil {
 			b.slog.Error("the books' log", "err", err)
 		}
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -199,7 +200,7 @@
 
 // AskHistory asks a gateway its book, of one member or, with an empty name, of all.
 func AskHistory(addr, member string) (h History, err error) {
-	return h, request(http.MethodGet, "http://"+addr+"/changes?member="+member, nil, "", &h)
+	return h, request(http.MethodGet, "http://"+addr+"/changes?"+url.Values{"member": {member}}.Encode(), nil, "", &h)
 }
 
 func request(method, url string, body []byte, mac string, to any) error {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -48,7 +48,7 @@
 		return res, err
 	}
 	c := accounting.New(accounting.Options{Log: l, URL: f.Export.To, Fleet: f.Name, Gateway: rank, Behind: desk.Acked(),
-		Batch: f.Export.Batch, Timeout: f.Export.Timeout, SetAside: SetAsideFile(o.Dir), Empty: true, Seed: int64(o.Life),
+		Batch: f.Export.Batch, Timeout: f.Export.Timeout, SetAside: SetAsideFile(o.Dir), SetAsideMost: setAsideMost(f.Export), Empty: true, Seed: int64(o.Life),
 		Acked: func(rec uint64) {
 			for _, a := range desk.Handle(export.Acked{Rec: rec}) {
 				l.Append(a.(export.Append).Payload)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 				c.Close()
 			}
 			g.pool.Close()
+			g.closeKept()
 		}
 	}()
 	ln, err := net.Listen("tcp", me.Listen)
@@ -154,13 +155,11 @@
 	if f.Export.To != "" {
 		oo := OwedOptions{Export: f.Export, Fleet: f.Name, Gateway: o.Rank, Dir: f.Dir(o.Rank), FS: o.FS, Life: uint64(g.epoch), Wall: bo.Wall, Log: g.log}
 		if g.loop.owed, err = openOwed(g.loop, oo); err != nil {
-			g.loop.books.close()
 			return nil, fmt.Errorf("gateway %d: kept: %w", o.Rank, err)
 		}
 	}
 	if f.Traces.To != "" {
 		if g.loop.traces, err = openTraces(f, o.Rank, g.clock.Now(), o.Seed, g.log); err != nil {
-			g.loop.books.close()
 			return nil, fmt.Errorf("gateway %d: traces: %w", o.Rank, err)
 		}
 	}
@@ -252,11 +251,11 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	// What is set aside here goes to others, for a moment; what no one takes stays on the disk for the next life.
-	g.loop.Ask(func() { g.loop.books.toLedger(reserve.Drain{}) })
-	for until := time.Now().Add(handOver); time.Now().Before(until); time.Sleep(2 * time.Millisecond) {
-		owing := 0.0
-		if !g.loop.Ask(func() { owing = g.loop.books.ledger.Owing() }) || owing < 1e-9 {
-			break
+	handed := make(chan struct{})
+	if g.loop.Ask(func() { g.loop.books.handOver(handed) }) {
+		select {
+		case <-handed:
+		case <-time.After(handOver):
 		}
 	}
 	// The last measures leave while the state that they are read from is there.
@@ -284,12 +283,23 @@
 	g.loop.Stop()
 	g.pool.Close()
 	g.wg.Wait()
-	g.loop.books.close()
-	if g.loop.owed != nil {
-		g.loop.owed.close()
+	g.closeKept()
+}
+
+// closeKept ends what the loop keeps and tells, as far as it was opened.
+func (g *Gateway) closeKept() {
+	l := g.loop
+	if l == nil {
+		return
+	}
+	if l.books != nil {
+		l.books.close()
+	}
+	if l.owed != nil {
+		l.owed.close()
 	}
-	if g.loop.traces != nil {
-		g.loop.traces.close()
+	if l.traces != nil {
+		l.traces.close()
 	}
 }
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -288,18 +288,7 @@
 	case inEnd:
 		l.ended(in.try, in.res)
 	case inPeer:
-		if len(in.text) > 0 && in.text[0] == chanSums {
-			if l.sums != nil {
-				l.sums.Heard(l.now, in.from, []byte(in.text[1:]))
-			}
-			return
-		}
-		if l.books == nil || !l.books.heard(in.from, in.text) {
-			if l.measures != nil {
-				l.measures.Word(in.text, "in")
-			}
-			l.handle(decide.PeerMessage{From: in.from, Text: in.text})
-		}
+		l.heard(in.from, in.text)
 	case inAsk:
 		in.f()
 	case inKept:
@@ -318,7 +307,7 @@
 	case inOwedLog:
 		l.owed.logFailed(in.err)
 	case inSnapped:
-		l.owed.snapped()
+		l.owed.snapped(in.err)
 	case inAcked:
 		l.owed.acked(in.rec)
 	case inUnreserve:
--- a/gateway/measured.go
+++ b/gateway/measured.go
@@ -146,9 +146,7 @@
 // tellSums tells the homes of names what this gateway counted, if it is time.
 func (l *Loop) tellSums() {
 	for _, s := range l.sums.Tick(l.now) {
-		if l.peers != nil {
-			l.peers.Send(s.To, string(append([]byte{chanSums}, s.Data...)))
-		}
+		l.tell(s.To, chanSums, s.Data)
 	}
 }
 
--- a/gateway/owed.go
+++ b/gateway/owed.go
@@ -31,7 +31,7 @@
 	next     export.ID
 	keepFrom atomic.Uint64 // first record that is still needed
 	snapAt   uint64
-	snaps    chan struct{}
+	twice    bool // the last snapshot was the second one of a state
 	failure  string
 	closed   bool
 	Holes    int
@@ -43,7 +43,7 @@
 	inOwed    struct{ rec uint64 } // durable up to there
 	inOwedLog struct{ err error }
 	inAcked   struct{ rec uint64 }
-	inSnapped struct{}
+	inSnapped struct{ err error }
 )
 
 const (
@@ -66,7 +66,7 @@
 	Log     *slog.Logger
 }
 
-// OpenDesk recovers a desk from its log and begins a life. post is told what Durable and Failed of the log are.
+// OpenDesk recovers a desk from its log and begins a life. keep, durable and failed are the log's Options of these names.
 func OpenDesk(o OwedOptions, keep func() uint64, durable func(uint64), failed func(error)) (*export.Desk, *wal.Log, *wal.Recovery, error) {
 	d := export.NewDesk(export.DeskSettings{Policy: o.Export.Unwritable, Life: o.Life})
 	bound := int64(o.Export.Disk)
@@ -81,19 +81,8 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	for _, h := range rec.Holes {
-		o.Log.Error("the export's log has a hole", "dir", o.Dir, "hole", h.String())
-	}
-	if rec.Torn > 0 || len(rec.Snapshots) > 0 {
-		o.Log.Warn("the export's log was cut", "dir", o.Dir, "bytes", rec.Torn, "snapshots", rec.Snapshots)
-	}
-	for _, a := range d.Begin(o.Wall()) {
-		// A log that takes none of it now keeps the intents, which the next life finds.
-		if _, err := log.Append(a.(export.Append).Payload); err != nil {
-			o.Log.Error("the export's log takes no settlements of former lives", "err", err)
-			break
-		}
-	}
+	rec.Report(o.Log, "export", o.Dir)
+	appendAll(d, log, o.Log, d.Begin(o.Wall()), func(export.DeskAction) {})
 	if n := d.Counts.Orphans; n > 0 {
 		o.Log.Warn("tries of a former life are exported at their guesses", "tries", n)
 	}
@@ -103,8 +92,11 @@
 // SetAsideFile is where events lie that the receiver will not take.
 func SetAsideFile(dir string) string { return filepath.Join(dir, "use-set-aside.jsonl") }
 
+// setAsideMost is what that file may take: a receiver that refuses everything must not have it all set aside.
+func setAsideMost(e config.Export) int64 { return int64(e.Disk) / 8 }
+
 func openOwed(l *Loop, o OwedOptions) (*owed, error) {
-	w := &owed{l: l, wall: o.Wall, slog: o.Log, bound: int64(o.Export.Disk), tries: map[export.ID]*try{}, snaps: make(chan struct{}, 1)}
+	w := &owed{l: l, wall: o.Wall, slog: o.Log, bound: int64(o.Export.Disk), tries: map[export.ID]*try{}}
 	var err error
 	var rec *wal.Recovery
 	w.desk, w.log, rec, err = OpenDesk(o, w.keepFrom.Load, func(no uint64) { l.q.post(inOwed{no}) },
@@ -115,7 +107,7 @@
 	w.Holes, w.Torn, w.snapAt = len(rec.Holes), rec.Torn, rec.Covered
 	w.keepFrom.Store(w.desk.Acked() + 1)
 	w.courier = accounting.New(accounting.Options{Log: w.log, URL: o.Export.To, Fleet: o.Fleet, Gateway: o.Gateway,
-		Behind: w.desk.Acked(), Batch: o.Export.Batch, Timeout: o.Export.Timeout, SetAside: SetAsideFile(o.Dir), Seed: int64(o.Life),
+		Behind: w.desk.Acked(), Batch: o.Export.Batch, Timeout: o.Export.Timeout, SetAside: SetAsideFile(o.Dir), SetAsideMost: setAsideMost(o.Export), Seed: int64(o.Life),
 		Acked: func(rec uint64) { l.q.post(inAcked{rec}) }, Say: func(text string, args ...any) { o.Log.Error(text, args...) }})
 	return w, nil
 }
@@ -130,33 +122,44 @@
 // refuses reports whether a call is refused at once, as nothing of it could be covered.
 func (w *owed) refuses() bool { return w.desk.Closed(w.room()) }
 
-func (w *owed) do(acts []export.DeskAction) {
-	for _, a := range acts {
-		switch a := a.(type) {
-		case export.Append:
-			no, err := w.log.Append(a.Payload)
-			if a.ID == 0 {
-				if err != nil && !errors.Is(err, wal.ErrFull) {
-					w.slog.Error("the export's log takes nothing", "err", err)
-				}
-				continue
-			}
-			ev := export.Appended{ID: a.ID, Rec: no}
-			if err != nil {
-				ev.Failed = err.Error()
-			}
-			w.do(w.desk.Handle(ev))
-		case export.Release:
-			if t := w.tries[a.ID]; t != nil && t.held {
-				t.held = false
-				w.l.nodes.Send(t.call)
-			}
-		case export.Deny:
-			if t := w.tries[a.ID]; t != nil && t.held {
-				t.held, t.denied = false, true
-				w.l.q.post(inEnd{t, upstream.Result{Outcome: decide.NoConnection}}) // it provably never left
+// appendAll hands a desk's records to its log, and what that says to the desk, before what comes behind them; other
+// takes all other actions.
+func appendAll(d *export.Desk, log *wal.Log, say *slog.Logger, acts []export.DeskAction, other func(export.DeskAction)) {
+	for len(acts) > 0 {
+		a, ok := acts[0].(export.Append)
+		if !ok {
+			other(acts[0])
+			acts = acts[1:]
+			continue
+		}
+		no, err := log.Append(a.Payload)
+		ev := export.Appended{ID: a.ID, Rec: no}
+		if err != nil {
+			if ev.Failed = err.Error(); !errors.Is(err, wal.ErrFull) {
+				say.Warn("the export's log takes nothing", "err", err)
 			}
 		}
+		acts = acts[1:]
+		if a.ID != 0 {
+			acts = append(d.Handle(ev), acts...)
+		}
+	}
+}
+
+func (w *owed) do(acts []export.DeskAction) { appendAll(w.desk, w.log, w.slog, acts, w.act) }
+
+func (w *owed) act(a export.DeskAction) {
+	switch a := a.(type) {
+	case export.Release:
+		if t := w.tries[a.ID]; t != nil && t.held {
+			t.held = false
+			w.l.nodes.Send(t.call)
+		}
+	case export.Deny:
+		if t := w.tries[a.ID]; t != nil && t.held {
+			t.held, t.denied = false, true
+			w.l.q.post(inEnd{t, upstream.Result{Outcome: decide.NoConnection}}) // it provably never left
+		}
 	}
 }
 
@@ -170,16 +173,6 @@
 		Plan: w.l.planOf(o), Class: o.Class, Node: t.node, Units: o.Units, Reserved: o.Reserved}}))
 }
 
-// planOf is the plan that a call is served under, which changes in service may have made another than the settings'.
-func (l *Loop) planOf(o *open) string {
-	if b := l.books; b != nil {
-		if p := b.book.Stands(o.Member).Name; p != "" {
-			return p
-		}
-	}
-	return o.Plan
-}
-
 // settle ends a try.
 func (w *owed) settle(t *try, res upstream.Result) {
 	delete(w.tries, t.owe)
@@ -203,6 +196,7 @@
 	w.do(w.desk.Handle(export.Durable{Rec: rec}))
 	w.courier.More()
 	if rec-w.snapAt >= owedSnapshot {
+		w.twice = false
 		w.snapshot()
 	}
 }
@@ -220,6 +214,7 @@
 func (w *owed) acked(rec uint64) {
 	w.do(w.desk.Handle(export.Acked{Rec: rec}))
 	if behind := rec + 1 - w.keepFrom.Load(); behind >= owedSnapshot || behind > 0 && !w.room() {
+		w.twice = false
 		w.snapshot()
 	}
 }
@@ -230,33 +225,24 @@
 	if no == 0 {
 		return
 	}
-	select {
-	case w.snaps <- struct{}{}:
-	default:
+	state, keep := w.desk.Snapshot(), w.desk.Acked()+1
+	if !w.log.SnapshotSoon(no, state, func(err error) { w.l.q.post(inSnapped{err}) }) {
 		return // one is under way
 	}
-	state := w.desk.Snapshot()
-	w.keepFrom.Store(w.desk.Acked() + 1)
+	w.keepFrom.Store(keep)
 	w.snapAt = no
-	go func() {
-		err := w.log.Snapshot(no, state)
-		if err == nil && w.log.Size() > w.bound/2 {
-			// The log keeps what the snapshot before needs, in case this one turns out damaged. Where room is short that
-			// is too dear: the same one again lets it go.
-			err = w.log.Snapshot(no, state)
-		}
-		if err != nil {
-			w.slog.Error("the export's snapshot failed", "err", err)
-		}
-		<-w.snaps
-		w.l.q.post(inSnapped{})
-	}()
 }
 
-// snapped takes another snapshot where room is still short and more has been acknowledged meanwhile: no later word of
-// the receiver may come that would bring one.
-func (w *owed) snapped() {
-	if w.desk.Acked()+1 > w.keepFrom.Load() && !w.room() {
+// snapped takes another snapshot where room is still short: more may have been acknowledged meanwhile, and no later word
+// of the receiver may come that would bring one; and the log keeps what the snapshot before needs, in case the last
+// one turns out damaged, which is too dear then.
+func (w *owed) snapped(err error) {
+	if err != nil {
+		w.slog.Error("the export's snapshot failed", "err", err)
+		return
+	}
+	if short := w.log.Size() > w.bound/2; short && (w.desk.Acked()+1 > w.keepFrom.Load() || !w.twice) {
+		w.twice = w.desk.Acked()+1 == w.keepFrom.Load()
 		w.snapshot()
 	}
 }
@@ -264,7 +250,6 @@
 func (w *owed) close() {
 	if !w.closed {
 		w.closed = true
-		w.snaps <- struct{}{}
 		if err := w.log.Close(); err != nil {
 			w.slog.Error("the export's log", "err", err)
 		}
--- a/plans/book.go
+++ b/plans/book.go
@@ -12,12 +12,13 @@
 
 // Spreading.
 const (
-	beat     = 500 * time.Millisecond // a gateway compares its book with another one so often
-	pushTo   = 4                      // gateways that are told of a change as it comes
-	atStart  = 3                      // gateways that a new one compares with at once
-	listed   = 48                     // changes of a range that are named one by one; more are split
-	splitTo  = 8                      // parts of a range
-	maxBytes = 1000                   // of a message
+	beat        = 500 * time.Millisecond // a gateway compares its book with another one so often
+	pushTo      = 4                      // gateways that are told of a change as it comes
+	atStart     = 3                      // gateways that a new one compares with at once
+	listed      = 48                     // changes of a range that are named one by one; more are split
+	splitTo     = 8                      // parts of a range
+	pendingMost = 256                    // own changes that wait for the disk
+	maxBytes    = 1000                   // of a message
 )
 
 // Admission of reservations.
@@ -325,6 +326,9 @@
 	if _, ok := b.pending[c.Number]; ok {
 		return wrong(c, "number", "seen before, it is being kept")
 	}
+	if len(b.pending) >= pendingMost {
+		return wrong(c, "log", "%d changes wait to be kept, want fewer than %d", len(b.pending), pendingMost)
+	}
 	if !c.finite() {
 		return wrong(c, "units", "figures of %v, %v, %+v, want numbers of 0 or more", c.Units, c.Rate, c.Terms)
 	}
--- a/plans/plans_test.go
+++ b/plans/plans_test.go
@@ -454,6 +454,22 @@
 	}
 }
 
+// TestPendingBound refuses changes while too many wait for a disk that takes nothing.
+func TestPendingBound(t *testing.T) {
+	b := New(settings(0, 1))
+	refused := 0
+	for i := range pendingMost + 10 {
+		for _, a := range b.Handle(Now{0, sec}, Submit{uint64(i), Change{Number: uint64(i + 1), Kind: Move, Member: "a", Plan: "wide"}}) {
+			if r, ok := a.(Reply); ok && r.Err != nil && r.Err.Field == "log" {
+				refused++
+			}
+		}
+	}
+	if refused != 10 {
+		t.Errorf("%d refused, want 10", refused)
+	}
+}
+
 func TestCodec(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := rapid.Float64Range(0, 1e9)
--- a/remotewrite/remotewrite.go
+++ b/remotewrite/remotewrite.go
@@ -46,9 +46,9 @@
 	shards []*shard
 	client http.Client
 	old    atomic.Bool // the receiver speaks 1.0 only
+	ending atomic.Bool // nothing more is gathered
 	began  time.Time
 	lastAt int64
-	stale  bool
 }
 
 // shard sends the samples of some series, in order.
@@ -57,7 +57,6 @@
 	mu   sync.Mutex
 	q    *sendq.Queue
 	wake chan struct{}
-	last string // answer
 }
 
 // New returns a writer; Run starts it.
@@ -95,19 +94,6 @@
 	return c
 }
 
-// Last is what the receiver last said that was no success.
-func (w *Writer) Last() string {
-	for _, s := range w.shards {
-		s.mu.Lock()
-		last := s.last
-		s.mu.Unlock()
-		if last != "" {
-			return last
-		}
-	}
-	return ""
-}
-
 // Run gathers and sends until the context ends. Then it gathers once more, marks all series stale, and sends what waits for
 // as long as flush.
 func (w *Writer) Run(ctx context.Context, flush time.Duration) {
@@ -129,25 +115,17 @@
 		}
 	}
 	w.gather(true)
-	for until := time.Now().Add(flush); time.Now().Before(until) && !w.idle(); time.Sleep(2 * time.Millisecond) {
+	w.ending.Store(true)
+	for _, s := range w.shards {
+		s.poke()
 	}
-	stop()
+	alarm := time.AfterFunc(flush, stop)
 	wg.Wait()
+	alarm.Stop()
+	stop()
 	w.client.CloseIdleConnections()
 }
 
-func (w *Writer) idle() bool {
-	for _, s := range w.shards {
-		s.mu.Lock()
-		idle := s.q.Idle()
-		s.mu.Unlock()
-		if !idle {
-			return false
-		}
-	}
-	return true
-}
-
 // gather puts one sample of each series into its shard. The time of samples never goes back: while the wall clock is
 // behind one that was sent, a millisecond is added for each gathering.
 func (w *Writer) gather(last bool) {
@@ -180,10 +158,15 @@
 		s.mu.Lock()
 		s.q.Put(parts[i])
 		s.mu.Unlock()
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.poke()
+	}
+}
+
+// poke makes a shard look at its queue.
+func (s *shard) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -197,6 +180,9 @@
 		}
 		s.mu.Unlock()
 		if len(batch) == 0 {
+			if s.w.ending.Load() {
+				return // all is sent, and nothing more comes
+			}
 			select {
 			case <-ctx.Done():
 			case <-s.wake:
@@ -206,7 +192,6 @@
 		a, why := s.w.send(ctx, batch)
 		s.mu.Lock()
 		v, wait := s.q.Answered(a)
-		s.last = why
 		s.mu.Unlock()
 		switch v {
 		case sendq.Older:
--- a/reserve/ledger.go
+++ b/reserve/ledger.go
@@ -39,6 +39,7 @@
 	againAfter  = 250 * time.Millisecond // tokens sent are told again until thanks come ...
 	againMost   = 4 * time.Second        // ... ever more rarely
 	memory      = time.Second            // of the units asked for
+	effectsMost = 4096                   // messages that wait for the disk
 	forgetAfter = 24 * time.Hour         // of the end of a window
 )
 
@@ -272,8 +273,7 @@
 	if h == nil {
 		n := l.s.Gateways
 		h = &hold{era: l.s.Era, sent: map[key]*sent{}, got: map[key]float64{}, out: map[string]float64{},
-			peers: make([]peer, n),
-			asks:  map[uint64]int{}}
+			peers: make([]peer, n), asks: map[uint64]int{}}
 		h.ID = id
 		l.holds[id] = h
 	}
@@ -441,7 +441,9 @@
 		l.do(Send{to, data})
 		return
 	}
-	l.effects = append(l.effects, effect{no: no, to: to, data: data})
+	if len(l.effects) < effectsMost { // what is left out is told again, as a total, or asked for again
+		l.effects = append(l.effects, effect{no: no, to: to, data: data})
+	}
 }
 
 // ---- Reservations.
@@ -454,15 +456,7 @@
 	h.known, h.Reservation, h.slices = true, e.Reservation, e.Slices
 	h.storeAt = l.now.Mono
 	l.order = append(l.order, h)
-	slices.SortFunc(l.order, func(a, b *hold) int {
-		switch {
-		case a.To != b.To:
-			return int(min(1, max(-1, a.To-b.To)))
-		case a.ID < b.ID:
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(l.order, func(a, b *hold) int { return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.ID, b.ID)) })
 	if h.Mine && !h.minted && !h.ended && l.freshHere(h) {
 		h.minted, h.free = true, h.free+h.Units
 		l.share(h)
@@ -615,6 +609,14 @@
 	return sum
 }
 
+// wants is the units that calls wait for.
+func (h *hold) wants() (sum float64) {
+	for _, w := range h.queue {
+		sum += w.Units
+	}
+	return sum
+}
+
 // take uses room, what others gave first.
 func (h *hold) take(units float64) {
 	for i := range h.covers {
@@ -724,10 +726,7 @@
 	if l.drained {
 		return
 	}
-	wants := 0.0
-	for _, w := range h.queue {
-		wants += w.Units
-	}
+	wants := h.wants()
 	chunk := max(drawLeast*l.s.MaxUnits, h.asked.get(l.now.Mono)*drawFor.Seconds())
 	have := h.drawn + h.drawing
 	if h.free <= 0 || have >= wants && (have >= chunk/2 || wants == 0 && h.asked.get(l.now.Mono) < 1e-3) {
@@ -765,10 +764,7 @@
 	if l.drained || l.s.Gateways < 2 {
 		return
 	}
-	wants := 0.0
-	for _, w := range h.queue {
-		wants += w.Units
-	}
+	wants := h.wants()
 	out := 0
 	for i := range h.peers {
 		p := &h.peers[i]
@@ -852,15 +848,7 @@
 		score[i] = v + 1e-6*l.rng.Float64()
 		out = append(out, i)
 	}
-	slices.SortFunc(out, func(a, b int) int {
-		switch {
-		case score[a] > score[b]:
-			return -1
-		case score[a] < score[b]:
-			return 1
-		}
-		return a - b
-	})
+	slices.SortFunc(out, func(a, b int) int { return cmp.Or(cmp.Compare(score[b], score[a]), a-b) })
 	return out
 }
 
@@ -975,10 +963,7 @@
 	}
 	cover := 0.0
 	if !h.ended && h.known && h.Ceiling && room > 0 {
-		wants := 0.0
-		for _, w := range h.queue {
-			wants += w.Units
-		}
+		wants := h.wants()
 		// Less than the call needs would only run out of time there.
 		if cover = min(room, max(0, h.store-wants)); cover < min(room, l.s.MaxUnits)-1e-9 {
 			cover = 0
--- a/sendq/sendq.go
+++ b/sendq/sendq.go
@@ -208,6 +208,3 @@
 
 // Wake ends a wait.
 func (q *Queue) Wake() { q.sleeps = false }
-
-// Idle reports whether nothing waits or is out.
-func (q *Queue) Idle() bool { return len(q.items) == 0 && q.out == 0 }
--- a/standin/remotewrite/remotewrite.go
+++ b/standin/remotewrite/remotewrite.go
@@ -33,6 +33,9 @@
 	Slow       time.Duration
 }
 
+// pointsMost is how many points of a series are kept.
+const pointsMost = 20000
+
 // Point is a sample that came.
 type Point struct {
 	At    int64 // Unix ms
@@ -276,6 +279,9 @@
 				continue
 			}
 		}
+		if len(ps) >= pointsMost {
+			ps = append(ps[:0:0], ps[len(ps)/2:]...) // the older half goes
+		}
 		r.series[names[i]] = append(ps, p)
 	}
 	r.Batches[version]++
--- a/sums/sums.go
+++ b/sums/sums.go
@@ -110,7 +110,6 @@
 	turn   map[int]int // where the refresh of each home stands
 	sums   map[uint64]*sum
 	known  map[uint64]Name
-	Unsure uint64 // first words of lives whose past this gateway does not know
 }
 
 // New returns a summer that has counted nothing.
@@ -294,8 +293,6 @@
 		return // a word of a former life, late
 	case age < x.now-x.began || seq == 1:
 		s.Totals.add(t)
-	default:
-		x.Unsure++
 	}
 	s.from[from] = &told{t, life}
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -26,10 +26,12 @@
 package wal
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
@@ -127,12 +129,27 @@
 	Snapshots []string // damaged ones, passed over
 }
 
+// Report tells an operator's log what was damaged, if anything was; what names the log.
+func (r *Recovery) Report(log *slog.Logger, what, dir string) {
+	for _, h := range r.Holes {
+		log.Error("a log has a hole", "log", what, "dir", dir, "hole", h.String())
+	}
+	if r.Torn > 0 || len(r.Snapshots) > 0 {
+		log.Warn("a log was cut", "log", what, "dir", dir, "bytes", r.Torn, "snapshots", r.Snapshots)
+	}
+}
+
 type segment struct {
 	name  string
 	first uint64
 	size  int64
 }
 
+type snap struct {
+	no   uint64
+	size int64
+}
+
 func segmentName(no uint64) string  { return fmt.Sprintf("%020d.log", no) }
 func snapshotName(no uint64) string { return fmt.Sprintf("%020d.snap", no) }
 
@@ -185,8 +202,8 @@
 		xxhash.Sum64(b[:16]) == binary.LittleEndian.Uint64(b[16:])
 }
 
-// listing is what files a directory holds.
-func listing(fs FS, dir string) (segs []segment, snaps []uint64, err error) {
+// listing is what files a directory holds, in order.
+func listing(fs FS, dir string) (segs []segment, snaps []snap, err error) {
 	entries, err := fs.List(dir)
 	if err != nil {
 		return nil, nil, err
@@ -194,30 +211,21 @@
 	for _, e := range entries {
 		name, ext, _ := strings.Cut(e.Name(), ".")
 		no, err := strconv.ParseUint(name, 10, 64)
-		if err != nil || len(name) != 20 {
+		if err != nil || len(name) != 20 || ext != "log" && ext != "snap" {
 			continue
 		}
-		switch ext {
-		case "log":
-			info, err := e.Info()
-			if err != nil {
-				return nil, nil, err
-			}
+		info, err := e.Info()
+		if err != nil {
+			return nil, nil, err
+		}
+		if ext == "log" {
 			segs = append(segs, segment{e.Name(), no, info.Size()})
-		case "snap":
-			snaps = append(snaps, no)
+		} else {
+			snaps = append(snaps, snap{no, info.Size()})
 		}
 	}
-	slices.SortFunc(segs, func(a, b segment) int {
-		switch {
-		case a.first < b.first:
-			return -1
-		case a.first > b.first:
-			return 1
-		}
-		return 0
-	})
-	slices.Sort(snaps)
+	slices.SortFunc(segs, func(a, b segment) int { return cmp.Compare(a.first, b.first) })
+	slices.SortFunc(snaps, func(a, b snap) int { return cmp.Compare(a.no, b.no) })
 	return segs, snaps, nil
 }
 
