The gateway serves on the platform: HTTP/1.1 both ways, watch, datagrams, winghatch serve

Change: packages http1 (strict codec), seats (which clients' connections stay, pure), front/http, upstream/http, nodelist/registry, peer/plain and platform, on the loop and the module as they are; front.Call may make the bytes of its attempts; settings have one decoder, shared with wirehost; run and node in deploy/balancer.toml.

--- a/cmd/winghatch/main.go
+++ b/cmd/winghatch/main.go
@@ -12,6 +12,7 @@
 
 type command struct {
 	Gateway gatewayCmd `cmd:"" help:"Run one gateway of a fleet."`
+	Serve   serveCmd   `cmd:"" help:"Run one gateway of the platform, as its configuration tells."`
 	Check   checkCmd   `cmd:"" help:"Check a settings file as the gateway does at its start."`
 	Replay  replayCmd  `cmd:"" help:"Replay a recorded tape into a fresh core and compare all actions."`
 	State   stateCmd   `cmd:"" help:"Ask a running gateway its state."`
--- /dev/null
+++ b/cmd/winghatch/serve.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"winghatch/platform"
+)
+
+type serveCmd struct {
+	Config string `env:"LB_CONFIG" required:"" help:"What the platform tells this gateway, JSON."`
+	Debug  bool   `help:"Log each request and attempt."`
+}
+
+func (c *serveCmd) Run() error {
+	// First, so that no signal finds the process without an answer to it.
+	sigs := make(chan os.Signal, 16)
+	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	level := slog.LevelInfo
+	if c.Debug {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	cfg, err := platform.Load(c.Config)
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	platform.Fit(cfg)
+	g, err := platform.Start(cfg, log)
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	g.Wait(c.Config, sigs)
+	return nil
+}
--- a/cmd/wirehost/wire.go
+++ b/cmd/wirehost/wire.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"winghatch/decide"
+	"winghatch/platform/settings"
 )
 
 // host keeps the gateways of this process. They share nothing.
@@ -35,20 +35,11 @@
 	Gateways []replyGateway `json:"gateways"`
 }
 
-// fieldOf names the field at which decoding stopped.
-func fieldOf(err error) error {
-	var t *json.UnmarshalTypeError
-	if errors.As(err, &t) {
-		return fmt.Errorf("field %q: can't take a %s", t.Field, t.Value)
-	}
-	return err
-}
-
 // batch answers one line.
 func (h *host) batch(line []byte) ([]byte, error) {
 	var b batch
 	if err := json.Unmarshal(line, &b); err != nil {
-		return nil, fmt.Errorf("batch %q: %w", b.Batch, fieldOf(err))
+		return nil, fmt.Errorf("batch %q: %w", b.Batch, settings.FieldOf(err))
 	}
 	if b.Batch == "" {
 		return nil, fmt.Errorf("batch %q: field \"batch\" is missing", b.Batch)
@@ -76,7 +67,7 @@
 		M string `json:"m"`
 	}
 	if err := json.Unmarshal(raw, &head); err != nil {
-		return nil, fmt.Errorf("field \"happened\": %w", fieldOf(err))
+		return nil, fmt.Errorf("field \"happened\": %w", settings.FieldOf(err))
 	}
 	switch head.M {
 	case "NewInstance":
@@ -87,7 +78,7 @@
 	}
 	ev, err := parseEvent(head.M, raw)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", head.M, fieldOf(err))
+		return nil, fmt.Errorf("%s: %w", head.M, settings.FieldOf(err))
 	}
 	g := h.gateways[i]
 	if ev == nil || g == nil || g.gw == nil {
@@ -122,12 +113,12 @@
 		ProfileData json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return nil, fmt.Errorf("NewInstance: %w", fieldOf(err))
+		return nil, fmt.Errorf("NewInstance: %w", settings.FieldOf(err))
 	}
 	h.gateways[i] = &instance{}
-	cfg, err := parseConfig(e.ProfileData)
+	cfg, _, err := settings.Parse(e.ProfileData)
 	if err != nil {
-		return []any{bug(err.Error())}, nil
+		return []any{bug("ProfileData: " + err.Error())}, nil
 	}
 	gw, err := decide.New(cfg, int64(e.RandomSeed))
 	if err != nil {
--- a/front/front.go
+++ b/front/front.go
@@ -44,7 +44,9 @@
 	Reserved    bool            // it is to use units that were set aside for its member
 	TraceParent string          // W3C Trace Context; empty: none was given
 	Work        json.RawMessage // the work's own fields
-	Done        func(Final)     // called at most once, by the loop; must not block
+	// Form makes the bytes of an attempt, where nodes are not told in JSON-RPC; nil: they are.
+	Form func(attempt int, left time.Duration) []byte
+	Done func(Final) // called at most once, by the loop; must not block
 }
 
 // Core takes calls; the gateway's loop does.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -145,6 +145,8 @@
 	reasons  map[string]int64 // refusals
 	ends     map[string]int64 // outcomes of attempts
 	turns    int64
+	lag      time.Duration // see Brief
+	turn     time.Duration
 	limit    int64 // calls open at once
 	tamper   Tamper
 	books    *books        // nil: no changes in service
@@ -166,6 +168,9 @@
 	return l
 }
 
+// Limit bounds the calls that are open at once; it is set before Run.
+func (l *Loop) Limit(calls int) { l.limit = int64(calls) }
+
 // Enter counts a call in, or reports that the cap on open calls is reached. That also bounds the queue.
 func (l *Loop) Enter() bool {
 	if l.Open.Add(1) > l.limit {
@@ -222,6 +227,9 @@
 		for _, in := range l.q.take() {
 			l.input(in)
 		}
+		if at, ok := l.timers.next(); ok {
+			l.lag = max(l.lag, l.now-at)
+		}
 		for {
 			token, t, ok := l.timers.due(l.now)
 			if !ok {
@@ -229,6 +237,7 @@
 			}
 			l.fire(token, t)
 		}
+		l.turn = max(l.turn, l.clock()-l.now)
 		if l.tape != nil && l.q.len() == 0 {
 			l.flushTape()
 		}
@@ -544,8 +553,13 @@
 		return
 	}
 	l.Tries.Add(1)
-	t.call = &upstream.Call{Node: a.Server, Method: o.Class, Params: o.params(t.n, left),
+	t.call = &upstream.Call{Node: a.Server, Method: o.Class,
 		Done: func(r upstream.Result) { l.q.post(inEnd{t, r}) }}
+	if o.Form != nil {
+		t.call.Params = o.Form(t.n, left)
+	} else {
+		t.call.Params = o.params(t.n, left)
+	}
 	l.timers.timeOut(t, l.now+left)
 	if l.owed != nil {
 		l.owed.intend(t)
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -55,13 +55,26 @@
 	Params []byte
 	Done   func(Result)
 
+	Carrier any // of another transport than this package's Pool: what carries the call
+
 	state atomic.Int32
 	conn  *conn
 	id    uint64
 }
 
-// begin is the writer's: the call counts as sent before its first byte is.
-func (c *Call) begin() bool { return c.state.CompareAndSwap(waiting, sent) }
+// GiveUp ends a call without a result and tells what is known of it.
+func (c *Call) GiveUp() Given {
+	switch was, first := c.end(); {
+	case !first:
+		return Ended
+	case was == waiting:
+		return NeverLeft
+	}
+	return MayRun
+}
+
+// Begin is the writer's: the call counts as sent before its first byte is.
+func (c *Call) Begin() bool { return c.state.CompareAndSwap(waiting, sent) }
 
 // end takes the call out of all hands; first is set for the one that ends it.
 func (c *Call) end() (was int32, first bool) {
@@ -69,14 +82,15 @@
 	return was, was != over
 }
 
-func (c *Call) finish(r Result) {
+// Finish ends a call with its result, unless it has ended or was given up.
+func (c *Call) Finish(r Result) {
 	if _, first := c.end(); first {
 		c.Done(r)
 	}
 }
 
-// broke ends a call whose connection is gone, by whether it may have left.
-func (c *Call) broke() {
+// Broke ends a call whose connection is gone, by whether it may have left.
+func (c *Call) Broke() {
 	switch was, first := c.end(); {
 	case !first:
 	case was == sent:
@@ -193,9 +207,9 @@
 
 func (k *conn) write(l *link.Conn, c *Call) {
 	data := jsonrpc.AppendCall(nil, jsonrpc.ID(strconv.FormatUint(c.id, 10)), c.Method, c.Params)
-	if l.SendIf(data, c.begin) != nil {
+	if l.SendIf(data, c.Begin) != nil {
 		k.drop(c)
-		c.broke()
+		c.Broke()
 	}
 }
 
@@ -321,7 +335,7 @@
 	k.calls = map[uint64]*Call{}
 	p.mu.Unlock()
 	for _, c := range calls {
-		c.broke()
+		c.Broke()
 	}
 }
 
@@ -338,7 +352,7 @@
 		return
 	}
 	k.drop(c)
-	c.finish(read(it))
+	c.Finish(read(it))
 }
 
 // read takes a node's answer. What can't be read counts as an error: the work may have run.
