The pool never closes a connection under its lock, at which a gateway stood still for good

Ruled out: accept (no warning), memory (19 of 48 MB), descriptors (120 of 256). Cause: upstream/http kill() called Close with p.mu held; net's Close waits for the read under way, whose step waits for p.mu. Change: kill only shuts the socket down both ways, its reader closes it. Test: attempts given up as their answers come; it stands still with the code before and passes now.

--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -51,7 +51,8 @@
 	o       Options
 	mu      sync.Mutex
 	servers map[string]*server
-	idle    *list.List // connections at rest, longest first
+	all     map[*conn]struct{} // also those to servers that are gone
+	idle    *list.List         // connections at rest, longest first
 	closed  bool
 	wg      sync.WaitGroup
 	ctx     context.Context
@@ -61,7 +62,6 @@
 type server struct {
 	Server
 	idle []*conn // the last is the one most recently used
-	all  map[*conn]struct{}
 }
 
 type conn struct {
@@ -87,7 +87,7 @@
 // New returns an empty pool.
 func New(o Options) *Pool {
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Pool{o: o, servers: map[string]*server{}, idle: list.New(), ctx: ctx, stop: stop}
+	p := &Pool{o: o, servers: map[string]*server{}, all: map[*conn]struct{}{}, idle: list.New(), ctx: ctx, stop: stop}
 	p.wg.Add(1)
 	go p.sweep()
 	return p
@@ -107,7 +107,7 @@
 			s = nil
 		}
 		if s == nil && n.State != decide.Gone {
-			s = &server{all: map[*conn]struct{}{}}
+			s = &server{}
 			p.servers[n.ID] = s
 		}
 		if s != nil {
@@ -146,8 +146,8 @@
 	for len(s.idle) > 0 {
 		s.idle[len(s.idle)-1].kill()
 	}
-	for k := range s.all {
-		if k.nc == nil && k.call != nil {
+	for k := range p.all {
+		if k.s == s && k.nc == nil && k.call != nil {
 			out = append(out, k.call)
 			k.call = nil
 		}
@@ -155,17 +155,23 @@
 	return out
 }
 
-// kill takes a connection out and closes it; p.mu is held.
+// kill takes a connection out and ends it both ways; p.mu is held. Its descriptor is closed by its reader, which wakes
+// of this: to close it here would wait for the reader's step under way, which may wait for the lock that is held.
 func (k *conn) kill() {
 	if k.dead {
 		return
 	}
 	k.dead = true
 	k.leave()
-	delete(k.s.all, k)
+	delete(k.p.all, k)
 	k.p.Conns.Add(-1)
-	if k.nc != nil {
-		k.nc.Close()
+	k.shut()
+}
+
+// shut ends a connection both ways at once and never waits.
+func (k *conn) shut() {
+	if k.raw != nil {
+		k.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
 	}
 }
 
@@ -218,7 +224,7 @@
 	k := &conn{p: p, s: s, call: c}
 	k.step = k.readStep
 	c.Carrier = k
-	s.all[k] = struct{}{}
+	p.all[k] = struct{}{}
 	p.Conns.Add(1)
 	p.Dials.Add(1)
 	p.wg.Add(1)
@@ -266,7 +272,7 @@
 	}
 	if err != nil && err != syscall.EAGAIN {
 		// The connection broke before the last byte was written: it never ran. Its reader ends the attempt.
-		k.nc.Close()
+		k.shut()
 		return
 	}
 	k.rests = true
@@ -321,6 +327,9 @@
 		k.call = nil
 		k.kill()
 		p.mu.Unlock()
+		if k.nc != nil {
+			k.nc.Close()
+		}
 		if err != nil {
 			p.DialFailed.Add(1)
 		}
@@ -338,6 +347,7 @@
 	p.mu.Unlock()
 	for k.answer() {
 	}
+	k.nc.Close()
 }
 
 // Read reads from the socket. Each step holds the pool's lock, so that Send never takes a connection on which a byte
@@ -515,12 +525,8 @@
 	p.stop()
 	p.mu.Lock()
 	p.closed = true
-	for _, s := range p.servers {
-		for k := range s.all {
-			if k.nc != nil {
-				k.nc.Close()
-			}
-		}
+	for k := range p.all {
+		k.shut()
 	}
 	p.mu.Unlock()
 	p.wg.Wait()
