--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,13 +68,12 @@
 
 // Attempts.
 const (
-	stoodFrom   = 100 * time.Millisecond  // and two beats without any event: this gateway stood still
-	ghostFor    = 1500 * time.Millisecond // work that nobody waits for counts as load no longer than this
-	waitPart    = 0.7                     // work that nobody waits for counts as load for so long
-	openLeast   = 3.0                     // attempts out a server, of all gateways, that are always allowed
-	aimMargin   = 6 * time.Millisecond    // an answer must be back at the client within the aim
-	overdueX    = 4.0                     // times its estimate: an attempt is overdue
-	overdueMin  = 150 * time.Millisecond
+	stoodFrom = 100 * time.Millisecond // and two beats without any event: this gateway stood still
+	waitPart  = 0.7                    // work that nobody waits for counts as load for so long
+	openLeast = 3.0                    // attempts out a server, of all gateways, that are always allowed
+	aimMargin = 6 * time.Millisecond   // an answer must be back at the client within the aim
+
+	overdueX    = 4.0  // times its estimate: an attempt is overdue
 	callOffFrom = 0.3  // share missed: on thin evidence only a server known for it is given up on early
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
@@ -85,7 +84,14 @@
 	shedFrom    = 0.25 // of the cap on open work, where the least worth work is shed
 	reservedTo  = 1.25 // times as much pressure: reserved work goes before other of the same worth
 	shedTo      = 0.8  // of the time left: an estimate over it is hopeless
-	retryAdvice = 200 * time.Millisecond
+)
+
+// Times of a request, in the quickest aim of a class, as sites differ in scale. Told in milliseconds they made
+// customers of a site of short aims come back too late and let ghosts fill its cap.
+const (
+	ghostFor    = 3.0 // work that nobody waits for counts as load no longer than this
+	overdueMin  = 0.3
+	retryAdvice = 0.4
 )
 
 // Handle takes one event at the time now and returns what is to be done, in order.
@@ -621,7 +627,7 @@
 // timed out while its attempts out look few; without ghosts the jam feeds itself. Where a server drops such
 // work the first later answer clears them, so they cost little.
 func (g *Gateway) load(s *server) float64 {
-	for len(s.ghosts) > 0 && g.now-s.ghosts[0] > ghostFor {
+	for len(s.ghosts) > 0 && g.now-s.ghosts[0] > g.aims(ghostFor) {
 		s.ghosts = s.ghosts[1:]
 		g.all.open--
 	}
@@ -837,7 +843,7 @@
 func (g *Gateway) refuse(id string, why Reason) {
 	a := Refuse{ID: id, Reason: why}
 	if g.cfg.Limits.RetryAfter {
-		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, retryAdvice)
+		a.RetryAfter = min(g.cfg.Limits.MaxRetryAfter, g.aims(retryAdvice))
 	}
 	g.do(a)
 }
@@ -851,7 +857,7 @@
 	if s.coldUntil > g.now {
 		s.budget--
 	}
-	wait := max(overdueMin, time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
+	wait := max(g.aims(overdueMin), time.Duration(overdueX*g.estimate(s, r.class)*float64(time.Second)))
 	s.out++
 	g.all.open++
 	s.sends.add(g.now, 1)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -491,7 +491,7 @@
 	if _, acts := r.ask("get", "wide", "c", 1); len(find[Refuse](acts)) != 1 {
 		t.Errorf("sent on to servers that still work on what nobody waits for: %#v", acts)
 	}
-	r.now += ghostFor + time.Second
+	r.now += r.g.aims(ghostFor) + time.Second
 	r.send("get", "wide")
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -165,6 +165,11 @@
 	why                 Reason  // of its refusal, if it comes to that
 }
 
+// aims is a time in quickest aims. Times that belong to one request are told so, as sites differ in scale.
+func (g *Gateway) aims(n float64) time.Duration {
+	return time.Duration(n * g.quickest * float64(time.Second))
+}
+
 const beatToken = 1 // timer of the beat; tokens above it name attempts and questions
 
 func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -401,7 +401,7 @@
 	l.ends[outcomeNames[res.Outcome]]++
 	if l.chatty { // asked first: the fields alone cost an allocation each
 		l.log.Debug("attempt", "request", o.ID, "attempt", t.n, "member", o.Member, "server", t.node,
-			"outcome", outcomeNames[res.Outcome], "took", l.now-t.at)
+			"class", o.Class, "outcome", outcomeNames[res.Outcome], "took", l.now-t.at, "report", res.Report)
 	}
 	ev := decide.AttemptEnded{ID: o.ID, Server: t.node, Attempt: t.n, Outcome: res.Outcome, Took: l.now - t.at,
 		Metered: res.Metered, Report: res.Report, Done: o.finished}
@@ -455,7 +455,7 @@
 	l.finalTrace(o, f.Kind.String(), f.Reason, f.Units)
 	l.measureFinal(o, f.Kind.String(), f)
 	if l.chatty {
-		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "kind", f.Kind.String(), "reason", f.Reason,
+		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "plan", o.Plan, "again", o.Again, "kind", f.Kind.String(), "reason", f.Reason,
 			"attempts", len(o.tries), "took", l.now-o.at)
 	}
 	if l.tamper.Final != nil {
