--- a/decide/decide.go
+++ b/decide/decide.go
@@ -293,6 +293,7 @@
 		p.sent, p.mySeq = g.now, (p.mySeq+1)%4096
 		g.do(Tell{i, g.message(i, p)})
 	}
+	g.forgetGone()
 	g.survey()
 	g.mix(g.all.open, g.done.get(g.now), ownGain)
 	g.sweep()
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -422,3 +422,23 @@
 		}
 	}
 }
+
+// On a day on which all servers are replaced again and again nothing of those that have gone stays.
+func TestServersThatHaveGoneAreForgotten(t *testing.T) {
+	r := newRig(t, nil)
+	id, s := r.send("get", "wide")
+	for i := range 1000 {
+		r.now += 100 * ms
+		r.do(FleetUpdate{Kind: FleetDelta, Servers: []Server{{ID: fmt.Sprint("new", i), Zone: "a"}, {ID: fmt.Sprint("new", i-1), State: Gone},
+			{ID: "s1", State: Gone}, {ID: "s2", State: Gone}, {ID: "s3", State: Gone}}})
+		r.do(TimerFired{beatToken})
+	}
+	if n := len(r.g.order); n != 2 || len(r.g.servers) != 2 || len(r.g.shorts) != 2 {
+		t.Errorf("%d servers are kept, want the one that is listed and the one that still holds an attempt", n)
+	}
+	r.end(id, 0, s.Server, OK)
+	r.do(TimerFired{beatToken})
+	if n := len(r.g.order); n != 1 {
+		t.Errorf("%d servers are kept, want 1", n)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -271,6 +271,21 @@
 	return c
 }
 
+// forgetGone drops servers that are gone once nothing of theirs is out: where servers are replaced all day by new ones
+// under new names, those of the whole day would else be kept and looked at.
+func (g *Gateway) forgetGone() {
+	g.order = slices.DeleteFunc(g.order, func(s *server) bool {
+		if s.State != Gone || g.load(s) > 0 {
+			return false
+		}
+		delete(g.servers, s.ID)
+		if g.shorts[s.short] == s {
+			delete(g.shorts, s.short)
+		}
+		return true
+	})
+}
+
 // sweep drops customers that have been idle for long, a few at each beat.
 func (g *Gateway) sweep() {
 	for n := 0; n < 4 && len(g.queue) > 0; n++ {
