--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,6 +74,7 @@
 	aimMargin = 6 * time.Millisecond   // an answer must be back at the client within the aim
 
 	overdueX    = 4.0  // times its estimate: an attempt is overdue
+	silentFrom  = 2.0  // answers that should have come from a server which gave none: it may be silent
 	callOffFrom = 0.3  // share missed: on thin evidence only a server known for it is given up on early
 	budgetPart  = 0.15 // further attempts a first attempt, by this much the retry budget grows ...
 	budgetMost  = 10.0 // ... up to this many
@@ -869,20 +870,29 @@
 }
 
 // overdue looks at an attempt that should have been answered. If the server has answered others since, the
-// request is merely costly; if it has not, the server may be silent. A gateway that hardly meets a server
-// sees no such answer either way: there only what was told of the server may speak against it. Else all
-// gateways call off what is merely costly or waits, servers work on it all the same, and the fleet jams by
-// its own further attempts. It should also catch slow spells and heavy tails; it could harm where a server
-// has just gone silent.
+// request is merely costly; if it has not, the server may be silent. A gateway that meets a server rarely
+// sees no such answer either way: until a few should have come, only what is known of the server may speak
+// against it. Else all gateways call off what is merely costly or waits, servers work on it all the same, and
+// the fleet jams by its own further attempts: of 544 called off on a day of 5 requests a second and server,
+// 541 were at servers that answered others. It should also catch slow spells and heavy tails; it could harm
+// where a server has just gone silent.
 func (g *Gateway) overdue(r *request, a *attempt) {
 	s := a.server
-	if g.thin() == 1 && g.missed(s, r.class) < callOffFrom {
+	known := g.missed(s, r.class) >= callOffFrom
+	if g.thin() == 1 && !known {
 		return
 	}
 	g.saw(s, r.class, g.now-a.at, true)
 	if s.lastGood > a.at {
 		return
 	}
+	quiet := s.sends.get(g.now) * (g.now - max(s.lastGood, g.started)).Seconds()
+	if quiet < silentFrom && !known { // it is looked at again
+		if again := g.now + (g.now-a.at)/2; again < r.until && !r.finished {
+			g.wake(r.ID, a.n, again)
+		}
+		return
+	}
 	if r.finished || r.streaming || g.budget < 1 || r.class.Effect == Unsafe {
 		return
 	}
--- a/decide/thin_test.go
+++ b/decide/thin_test.go
@@ -48,17 +48,24 @@
 	}
 }
 
-// TestCostlyRequestIsCalledOffWhereAnswersAreMany: with few servers the same gateway does call off.
-func TestCostlyRequestIsCalledOffWhereAnswersAreMany(t *testing.T) {
-	r := newRig(t, func(c *Config) { c.Limits.Peers = false })
-	for i := 0; i < 20; i++ {
-		r.now += 20 * ms
-		r.serve("get", "wide", "c", 1)
-	}
-	r.now += time.Millisecond
-	_, acts := r.ask("get", "wide", "c", 1)
-	if len(find[Cancel](r.overdueTimer(acts))) == 0 {
-		t.Error("an overdue attempt at a server that answered nothing since was not called off")
+// TestSilenceIsJudgedByTheAnswersThatShouldHaveCome: an overdue attempt is called off where a server that was sent much
+// answered nothing since; where it was sent little the attempt is looked at again, and nothing more.
+func TestSilenceIsJudgedByTheAnswersThatShouldHaveCome(t *testing.T) {
+	for sent, want := range map[int]bool{100: true, 6: false} {
+		r := newRig(t, func(c *Config) { c.Limits.Peers = false })
+		for i := 0; i < sent; i++ {
+			r.now += 20 * ms
+			r.serve("get", "wide", "c", 1)
+		}
+		r.now += time.Millisecond
+		_, acts := r.ask("get", "wide", "c", 1)
+		acts = r.overdueTimer(acts)
+		if got := len(find[Cancel](acts)) > 0; got != want {
+			t.Errorf("after %d requests in a row: called off %v, want %v", sent, got, want)
+		}
+		if got := len(find[SetTimer](acts)) > 0; got == want {
+			t.Errorf("after %d requests in a row: looked at again %v, want %v", sent, got, !want)
+		}
 	}
 }
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -456,7 +456,7 @@
 	l.measureFinal(o, f.Kind.String(), f)
 	if l.chatty {
 		l.log.Debug("final", "request", o.ID, "member", o.Member, "class", o.Class, "plan", o.Plan, "again", o.Again, "kind", f.Kind.String(), "reason", f.Reason,
-			"attempts", len(o.tries), "took", l.now-o.at)
+			"attempts", len(o.tries), "took", l.now-o.at, "left", o.Deadline-o.at, "units", o.Units)
 	}
 	if l.tamper.Final != nil {
 		l.tamper.Final(f, o.Done)
