--- a/cmd/wirehost/wire.go
+++ b/cmd/wirehost/wire.go
@@ -135,27 +135,11 @@
 	}
 	r := decide.Report{}
 	for name, v := range raw {
-		r[reportName(name)] = v
+		r[settings.ReportName(name)] = v
 	}
 	return r
 }
 
-func reportName(wire string) string {
-	switch wire {
-	case "outstanding":
-		return "inflight"
-	case "backlog":
-		return "queue"
-	case "utilization":
-		return "util"
-	case "recent_ms":
-		return "latency_ms"
-	case "throughput":
-		return "qps"
-	}
-	return wire
-}
-
 // parseEvent returns nil for a message that it does not know.
 func parseEvent(m string, raw json.RawMessage) (decide.Event, error) {
 	switch m {
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -27,10 +27,11 @@
 // Options are the pool's bounds.
 type Options struct {
 	ConnectTimeout time.Duration
-	Conns          int           // to all servers together
-	Idle           time.Duration // a connection at rest is closed after this, before the server's machine does it
-	Body           int           // bytes of an answer
-	Units          float64       // most that an answer may charge; 0: any
+	Conns          int                      // to all servers together
+	Idle           time.Duration            // a connection at rest is closed after this, before the server's machine does it
+	Body           int                      // bytes of an answer
+	Units          float64                  // most that an answer may charge; 0: any
+	Figure         func(name string) string // of a load report, in the core's words; nil: as it came
 }
 
 // Server is where a server listens and which start of it: connections are kept by both, so that a new server at an old
@@ -486,13 +487,13 @@
 		}
 	}
 	if v, n := r.Get("X-Pressure"); n == 1 {
-		res.Report = report(v)
+		res.Report = p.report(v)
 	}
 	return res
 }
 
 // report reads "inflight=7,queue=2"; one that can't be read in any part is left out whole.
-func report(v string) decide.Report {
+func (p *Pool) report(v string) decide.Report {
 	out := decide.Report{}
 	for part := range strings.SplitSeq(v, ",") {
 		name, text, ok := strings.Cut(strings.TrimSpace(part), "=")
@@ -500,6 +501,9 @@
 		if !ok || err != nil || !(x >= 0 && x < 1e12) || len(out) == 8 {
 			return nil
 		}
+		if p.o.Figure != nil {
+			name = p.o.Figure(name)
+		}
 		out[name] = x
 	}
 	return out
