Sums keep what a gateway counts behind a first beat with nothing to tell

Cause: sums.Tick numbered a beat even if nothing was told, and learn() took word 2 of a gateway that began a moment before its home for the past of a former life; likewise a name told of for the first time later. Ruled out: lost datagrams (totals are told again), ports, the receiver. Change: words are numbered for each home, and a life whose first word was heard counts whole.

--- a/sums/sums.go
+++ b/sums/sums.go
@@ -96,6 +96,13 @@
 	life uint64
 }
 
+// life is one of another gateway. Of a whole one this gateway heard the first word, or was there before it: whatever it
+// counted counts here, also of a name that it had nothing to tell of at first.
+type life struct {
+	id    uint64
+	whole bool
+}
+
 // Summer is a gateway's. It is not safe for concurrent use.
 type Summer struct {
 	s      Settings
@@ -104,7 +111,8 @@
 	began  time.Duration
 	begun  bool
 	beatAt time.Duration
-	seq    uint32
+	seq    map[int]uint32 // of the words to each home
+	lives  map[int]life   // of the others, as heard
 	mine   map[Name]*own
 	order  []*own
 	turn   map[int]int // where the refresh of each home stands
@@ -114,7 +122,7 @@
 
 // New returns a summer that has counted nothing.
 func New(s Settings) *Summer {
-	x := &Summer{s: s, rng: rand.New(rand.NewSource(s.Seed)), mine: map[Name]*own{}, turn: map[int]int{}, sums: map[uint64]*sum{}, known: map[uint64]Name{}}
+	x := &Summer{s: s, rng: rand.New(rand.NewSource(s.Seed)), seq: map[int]uint32{}, lives: map[int]life{}, mine: map[Name]*own{}, turn: map[int]int{}, sums: map[uint64]*sum{}, known: map[uint64]Name{}}
 	for _, n := range s.Names {
 		h := n.hash()
 		x.known[h] = n
@@ -190,7 +198,6 @@
 		return nil
 	}
 	x.beatAt = x.now + time.Duration((0.9+0.2*x.rng.Float64())*float64(x.Beat()))
-	x.seq++
 	byHome := map[int][]*own{}
 	for _, o := range x.order {
 		for i := range min(homes, x.s.Gateways) {
@@ -227,9 +234,12 @@
 }
 
 func (x *Summer) words(to int, due []*own) (out []Send) {
+	if len(due) > 0 {
+		x.seq[to]++ // a beat with nothing to tell is no first word
+	}
 	head := binary.LittleEndian.AppendUint64(nil, x.s.Life)
 	head = binary.LittleEndian.AppendUint64(head, uint64(x.now-x.began))
-	head = binary.LittleEndian.AppendUint32(head, x.seq)
+	head = binary.LittleEndian.AppendUint32(head, x.seq[to])
 	b := slices.Clone(head)
 	for _, o := range due {
 		if len(b) > maxBytes-50 {
@@ -252,8 +262,15 @@
 	if from < 0 || from >= x.s.Gateways || from == x.s.Rank || len(data) < headBytes {
 		return
 	}
-	life, age := binary.LittleEndian.Uint64(data), time.Duration(binary.LittleEndian.Uint64(data[8:]))
-	seq := binary.LittleEndian.Uint32(data[16:])
+	id, age := binary.LittleEndian.Uint64(data), time.Duration(binary.LittleEndian.Uint64(data[8:]))
+	l, known := x.lives[from]
+	if known && id < l.id {
+		return // a word of a former life, late
+	}
+	if !known || id != l.id {
+		l = life{id, age < x.now-x.began || binary.LittleEndian.Uint32(data[16:]) == 1}
+		x.lives[from] = l
+	}
 	for b := data[headBytes:]; len(b) >= 8; {
 		h := binary.LittleEndian.Uint64(b)
 		var t Totals
@@ -273,28 +290,26 @@
 			return
 		}
 		if s := x.sums[h]; s != nil {
-			x.learn(s, from, life, age, seq, t)
+			learn(s, from, l, t)
 		}
 	}
 }
 
-// learn adds what a gateway's totals grew by. Totals make words that are late, lost or come twice harmless. Of a life that is not
-// known yet all of it counts if this gateway was there before it, or it is its first word; else its past was summed
-// before this gateway began, by its former life or not at all, and only what comes from now on counts.
-func (x *Summer) learn(s *sum, from int, life uint64, age time.Duration, seq uint32, t Totals) {
+// learn adds what a gateway's totals grew by. Totals make words that are late, lost or come twice harmless. Of a name that was not
+// heard of in this life all of it counts if the life is whole here; else its past was summed before this gateway began, by
+// its former life or not at all, and only what comes from now on counts.
+func learn(s *sum, from int, l life, t Totals) {
 	k := s.from[from]
 	switch {
-	case k != nil && k.life == life:
+	case k != nil && k.life == l.id:
 		if t.less(k.Totals) {
 			return
 		}
 		s.Totals.add(t.minus(k.Totals))
-	case k != nil && life < k.life:
-		return // a word of a former life, late
-	case age < x.now-x.began || seq == 1:
+	case l.whole:
 		s.Totals.add(t)
 	}
-	s.from[from] = &told{t, life}
+	s.from[from] = &told{t, l.id}
 }
 
 // Sum is a name whose home this gateway is.
--- a/sums/sums_test.go
+++ b/sums/sums_test.go
@@ -221,3 +221,38 @@
 		w.xs[0].Heard(w.now, from, b)
 	})
 }
+
+// A gateway that began a moment before its home and had nothing to tell at its first beat: what it counted later, also of a name
+// that it told of last, was taken for the past of a former life and left out for good.
+func TestCountsBehindAnEmptyFirstBeatAreSummed(t *testing.T) {
+	names := []Name{{true, "look"}, {false, "m"}}
+	for seed := range int64(20) {
+		for _, n := range names {
+			home := New(Settings{Gateways: 3, Names: names, Life: 1, Seed: seed}).home(n.hash(), 0)
+			from := (home + 1) % 3
+			sender := New(Settings{Rank: from, Gateways: 3, Names: names, Life: 7, Seed: seed})
+			sender.Tick(time.Hour) // it begins
+			x := New(Settings{Rank: home, Gateways: 3, Names: names, Life: 8, Seed: seed})
+			now := time.Hour + time.Millisecond
+			x.Tick(now)
+			for beat := range 6 {
+				if beat >= 2 {
+					sender.Add(now, names[0], Totals{Served: 1})
+				}
+				if beat >= 4 {
+					sender.Add(now, names[1], Totals{Served: 1})
+				}
+				now += 2 * sender.Beat()
+				for _, s := range sender.Tick(now) {
+					if s.To == home {
+						x.Heard(now, from, s.Data)
+					}
+				}
+			}
+			want := map[Name]uint64{names[0]: 4, names[1]: 2}[n]
+			if got := x.sums[n.hash()].Served; got != want {
+				t.Errorf("seed %d: %v: %d calls summed, want %d", seed, n, got, want)
+			}
+		}
+	}
+}
