--- a/front/http/server.go
+++ b/front/http/server.go
@@ -32,7 +32,7 @@
 
 // Counts are what operators are told of the front.
 type Counts struct {
-	Conns, Opened, Closed, Bad, Full, Requests atomic.Int64
+	Conns, Opened, Closed, Evicted, Bad, Full, Requests atomic.Int64
 }
 
 // Server is the front. Make it with New.
@@ -122,6 +122,7 @@
 	s.Opened.Add(1)
 	s.Conns.Add(1)
 	if old != nil {
+		s.Evicted.Add(1)
 		old.nc.Close()
 	}
 	go c.run()
