--- a/front/http/server.go
+++ b/front/http/server.go
@@ -18,6 +18,7 @@
 	"winghatch/front"
 	"winghatch/http1"
 	"winghatch/seats"
+	"winghatch/sock"
 )
 
 const (
@@ -371,17 +372,7 @@
 // write hands bytes to the socket's buffer at once and reports whether that is all. What the buffer does not take, as
 // the client does not read, is left to a goroutine with a bounded time: a loop that waited here would hold all up.
 func (c *conn) write(b []byte, last bool) bool {
-	n := 0
-	var err error
-	c.raw.Write(func(fd uintptr) bool {
-		for {
-			n, err = syscall.Write(int(fd), b)
-			if err != syscall.EINTR {
-				return true
-			}
-		}
-	})
-	n = max(n, 0)
+	n, err := sock.WriteNow(c.raw, b)
 	switch {
 	case err != nil && err != syscall.EAGAIN:
 		c.nc.Close()
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -21,6 +21,7 @@
 	"winghatch/decide"
 	"winghatch/http1"
 	"winghatch/keep"
+	"winghatch/sock"
 	"winghatch/upstream"
 )
 
@@ -265,17 +266,7 @@
 func (k *conn) start() {
 	c := k.call
 	b := c.Params
-	n := 0
-	var err error
-	k.raw.Write(func(fd uintptr) bool {
-		for {
-			n, err = syscall.Write(int(fd), b)
-			if err != syscall.EINTR {
-				return true
-			}
-		}
-	})
-	n = max(n, 0)
+	n, err := sock.WriteNow(k.raw, b)
 	if n == len(b) {
 		c.Begin()
 		return
