The id of a client that has gone is free again; a front that closes waits for no answer

Saw, on reading the change: the core gives a client that has gone no final answer, and only that freed its X-Txn, so ids were held for good (a map without a bound, and a repeat of the id turned away with 409). The test called the answer itself and could not see it. Also a connection whose next request waited behind an open one held Close up. Change: end() in front/http/server.go frees the id, done() only while its client is there; wait() ends with the front.

--- a/front/http/server.go
+++ b/front/http/server.go
@@ -71,6 +71,7 @@
 
 	mu       sync.Mutex
 	open     string // the core's id of the open request; empty: none
+	txn      string // its X-Txn
 	last     bool   // the answer under way is the connection's last
 	gone     bool
 	answered chan struct{}
@@ -194,21 +195,29 @@
 		if !open {
 			return !last
 		}
-		<-c.answered
+		select {
+		case <-c.answered:
+		case <-c.s.quit:
+			return false
+		}
 	}
 }
 
-// end forgets the connection. An open request's client has gone with it.
+// end forgets the connection. An open request's client has gone with it; the core gives it no final answer, so that
+// its X-Txn is freed here.
 func (c *conn) end() {
 	c.nc.Close()
 	c.mu.Lock()
 	c.gone = true
-	open := c.open
+	open, txn := c.open, c.txn
 	c.mu.Unlock()
+	s := c.s
+	if txn != "" {
+		s.free(txn)
+	}
 	if open != "" {
-		c.s.core.Gone(open)
+		s.core.Gone(open)
 	}
-	s := c.s
 	s.mu.Lock()
 	if s.conns[c.id] == c {
 		delete(s.conns, c.id)
@@ -298,7 +307,7 @@
 	call.Form = func(_ int, left time.Duration) []byte { return p.form(left) }
 	call.Done = func(f front.Final) { c.done(p.txn, f) }
 	c.mu.Lock()
-	c.open, c.last = call.ID, q.Close
+	c.open, c.txn, c.last = call.ID, p.txn, q.Close
 	c.mu.Unlock()
 	s.core.Call(call)
 	return true
@@ -317,7 +326,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.mu.Lock()
-	delete(s.ids, txn)
+	if !c.gone { // else it is freed, and may be another's by now
+		delete(s.ids, txn)
+		c.txn = ""
+	}
 	c.last = c.last || s.draining
 	s.seats.Rest(s.clock(), c.id)
 	s.mu.Unlock()
--- a/front/http/server_test.go
+++ b/front/http/server_test.go
@@ -194,6 +194,7 @@
 	<-core.came // it is free again
 }
 
+// The core gives a client that has gone no answer: its id must be free all the same, or ids are held for good.
 func TestAClientThatClosesHasGone(t *testing.T) {
 	core, s, addr := start(t, 10)
 	c := dial(t, addr).send(usual("POST /api") + "abc")
@@ -202,11 +203,18 @@
 	if id := <-core.left; id != call.ID {
 		t.Errorf("%q has gone, want %q", id, call.ID)
 	}
-	call.Done(front.Final{Kind: front.Failed}) // crosses it: nothing may break
-	dial(t, addr).send(usual("POST /api") + "abc")
-	(<-core.came).Done(front.Final{Kind: front.Failed})
-	if n := len(s.ids); n > 1 {
-		t.Errorf("%d ids are held", n)
+	again := dial(t, addr).send(usual("POST /api") + "abc")
+	second := <-core.came
+	call.Done(front.Final{Kind: front.Failed}) // crosses it: the id is the second's now
+	if status, _, _ := dial(t, addr).send(usual("POST /api") + "abc").read(); status != 409 {
+		t.Errorf("the id while the second is open: %d, want 409", status)
+	}
+	second.Done(front.Final{Kind: front.Failed})
+	again.read()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.ids); n != 0 {
+		t.Errorf("%d ids are held, want none", n)
 	}
 }
 
