Nothing read behind a shutdown is a request; repeats and gone clients judged at the write

At fault: CloseResting (front/http/server.go) shut the writing side, and run went on to take what was read as a request. At fault: upstream/http writes whatever waits for a connection however late (run), and the time told was formed at the decision (gateway/loop.go, send).

Change: front/http has one lock and one way to end a connection: half-close, bounded lingering, close; no close over unread bytes, no eviction or idle timeout in the midst of a request. What comes behind an open request is read on, so that it can't hide the client's end. Send tells until when a repeat may be written; the pool asks at the write, and before the last byte, whether window, time and client are still there, and forms the bytes then.

Each test was seen to fail with its mend taken out, in a scratch copy; three guards against a request behind the shutdown overlap and were taken out together.

--- a/decide/api.go
+++ b/decide/api.go
@@ -340,6 +340,7 @@
 	Send struct {
 		ID, Server string
 		Timeout    time.Duration // 0: until the client gives up
+		Before     time.Duration // it may be written up to then, however long its connection takes; 0: always
 	}
 	// Cancel stops waiting for an attempt.
 	Cancel struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -872,7 +872,7 @@
 	s.out++
 	g.all.open++
 	s.sends.add(g.now, 1)
-	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond)})
+	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond), r.repeatBefore()})
 	if g.now+wait < r.until {
 		g.wake(r.ID, a.n, g.now+wait)
 	}
@@ -1019,6 +1019,17 @@
 	return true
 }
 
+// repeatBefore guards the same rule where an attempt waits for its connection: servers forget a request a
+// window after the first attempt that may have run; one written later runs again. 0: no such bound.
+func (r *request) repeatBefore() time.Duration {
+	for _, a := range r.attempts[:len(r.attempts)-1] {
+		if a.ran && r.class.Effect == Keyed {
+			return a.at + r.class.Window - aimMargin
+		}
+	}
+	return 0
+}
+
 // giveUp gives the final answer: a refusal where that may be promised, else a failure.
 func (g *Gateway) giveUp(r *request) {
 	mayRun := func(a *attempt) bool { return a.ran }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -353,6 +353,32 @@
 	}
 }
 
+// A repeat that waits for its connection may come to its write behind the window, in which servers still know the first
+// attempt: it is told how long it may be written.
+func TestRepeatsAreBoundedAtTheirWrite(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		first  Outcome
+		window bool
+	}{{"put", Cancelled, true}, {"put", Reset, true}, {"put", NoConnection, false}, {"get", Reset, false}} {
+		r := newRig(t, nil)
+		id, s := r.send(c.class, "wide")
+		at := r.now
+		if s.Before != 0 {
+			t.Errorf("%s: the first attempt may be written until %v, want no bound", c.class, s.Before)
+		}
+		r.now += 700 * ms
+		again := find[Send](r.end(id, 0, s.Server, c.first))
+		if len(again) != 1 {
+			t.Fatalf("%s behind %v: %d sent, want 1", c.class, c.first, len(again))
+		}
+		got, bounded := again[0].Before-at, again[0].Before != 0
+		if bounded != c.window || bounded && (got > 2*time.Second || got < 1900*ms) {
+			t.Errorf("%s behind %v: the repeat may be written until %v after the first, want the window: %t", c.class, c.first, got, c.window)
+		}
+	}
+}
+
 func TestNoServer(t *testing.T) {
 	r := newRig(t, nil, []Server{}...)
 	r.do(FleetUpdate{Kind: FleetFull})
--- a/front/front.go
+++ b/front/front.go
@@ -47,6 +47,8 @@
 	// Form makes the bytes of an attempt, where nodes are not told in JSON-RPC; nil: they are.
 	Form func(attempt int, left time.Duration) []byte
 	Done func(Final) // called at most once, by the loop; must not block
+	// Left reports that the client has gone, also where Gone still waits in the loop's queue; nil: it is not known.
+	Left func() bool
 }
 
 // Core takes calls; the gateway's loop does.
--- /dev/null
+++ b/front/http/close_test.go
@@ -0,0 +1,278 @@
+package http
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"winghatch/front"
+)
+
+// until waits for a condition, 10 s at most.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// rests is a client whose connection was served once and rests.
+func rests(t *testing.T, core *core, addr string) *client {
+	t.Helper()
+	c := dial(t, addr).send(usual("POST /api") + "abc")
+	(<-core.came).Done(front.Final{Kind: front.Served, Body: []byte("x")})
+	if status, _, _ := c.read(); status != 200 {
+		t.Fatalf("%d, want 200", status)
+	}
+	return c
+}
+
+// A request that crosses the end of its connection is the client's to send again: sent on from here, it ran twice.
+func TestARequestBehindTheShutdownIsNotSentOn(t *testing.T) {
+	core, s, addr := start(t, 10)
+	c := rests(t, core, addr)
+	s.Drain()
+	s.StopTaking()
+	if status, _, _ := c.read(); status != 0 {
+		t.Fatalf("%d, want the end of the connection", status)
+	}
+	c.send(usual("POST /api", "X-Txn: t2") + "abc")
+	until(t, "the connection is closed", func() bool { return s.Conns.Load() == 0 })
+	if n := core.n(); n != 1 {
+		t.Errorf("%d requests were sent on, want 1", n)
+	}
+}
+
+// One whose bytes had begun to come has an answer: its client may have written it whole before the end.
+func TestARequestUnderWayWhenTheGatewayStopsIsRefused(t *testing.T) {
+	core, s, addr := start(t, 10)
+	whole := usual("POST /api", "X-Txn: t2") + "abc"
+	half, quiet := rests(t, core, addr).send(whole[:40]), dial(t, addr)
+	until(t, "half a head was read", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		n := 0
+		for _, c := range s.conns {
+			if c.begun && c.phase == asking {
+				n++
+			}
+		}
+		return n == 1 && len(s.conns) == 2
+	})
+	s.Drain()
+	s.StopTaking()
+	half.send(whole[40:])
+	if status, _, h := half.read(); status != 503 || h.Get("Connection") != "close" {
+		t.Errorf("%d, Connection %q, want 503 and close", status, h.Get("Connection"))
+	}
+	if status, _, _ := quiet.read(); status != 0 {
+		t.Errorf("one that never asked: %d, want the end of the connection", status)
+	}
+	if n := core.n(); n != 1 {
+		t.Errorf("%d requests were sent on, want 1", n)
+	}
+}
+
+// To close over unread bytes resets the connection, and what the client has not been sent yet is lost with it.
+func TestTheTailOfTheLastAnswerIsNotLost(t *testing.T) {
+	core, _, addr := start(t, 10)
+	nc, err := (&net.Dialer{}).Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	io.WriteString(nc, usual("POST /api", "Connection: close")+"abc"+strings.Repeat("behind it ", 600))
+	call := <-core.came
+	call.Done(front.Final{Kind: front.Served, Body: make([]byte, 1<<20)})
+	io.WriteString(nc, "more")
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	all, err := io.ReadAll(nc)
+	if err != nil || len(all) < 1<<20 {
+		t.Errorf("%d bytes and %v, want the whole answer and its end", len(all), err)
+	}
+}
+
+// Bytes that were read ahead must not hide that their client has gone.
+func TestAClientThatLeavesBehindOtherRequestsHasGone(t *testing.T) {
+	for _, behind := range []int{1, 5, 40, 2000} { // within the reader's buffer, what is kept ahead, and beyond
+		core, s, addr := start(t, 10)
+		text := usual("POST /api") + "abc"
+		for range behind {
+			text += usual("POST /api", "X-Txn: t2") + "abc"
+		}
+		c := dial(t, addr)
+		go c.send(text) // the front may end it half-way
+		call := <-core.came
+		if behind < 1000 {
+			until(t, "all has come", func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				n := 0
+				for _, c := range s.conns {
+					n = len(c.ahead) + c.dropped + c.rd.Buffered()
+				}
+				return n >= len(text)-len(usual("POST /api"))-3
+			})
+			c.nc.Close()
+		}
+		if id := <-core.left; id != call.ID {
+			t.Errorf("%d behind it: %q has gone, want %q", behind, id, call.ID)
+		}
+		until(t, "the connection is closed", func() bool { return s.Conns.Load() == 0 })
+		if n := core.n(); n != 1 || !call.Left() {
+			t.Errorf("%d behind it: %d requests were sent on, left %t, want 1 and true", behind, n, call.Left())
+		}
+	}
+}
+
+// The attempt's write asks whether the client is still there; the reader may not have been let run since it closed.
+func TestLeftLooksAtTheSocket(t *testing.T) {
+	core, _, addr := start(t, 10)
+	for _, leave := range []func(nc *net.TCPConn){
+		func(nc *net.TCPConn) { nc.Close() },
+		func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() }, // a reset
+		func(nc *net.TCPConn) { nc.CloseWrite() },
+	} {
+		c := dial(t, addr).send(usual("POST /api") + "abc")
+		call := <-core.came
+		if call.Left() {
+			t.Fatal("it has gone before it left")
+		}
+		leave(c.nc.(*net.TCPConn))
+		until(t, "the client has gone", call.Left)
+		<-core.left
+	}
+	c := rests(t, core, addr).send(usual("POST /api", "X-Txn: t2") + "abc")
+	call := <-core.came
+	call.Done(front.Final{Kind: front.Failed})
+	if c.read(); !call.Left() {
+		t.Error("a request that was answered still has a client")
+	}
+}
+
+// still is a connection whose reader does not run, so that what has come stays unread.
+func still(t *testing.T, s *Server) (*conn, net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	in, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { in.Close() })
+	raw, err := in.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	c := newConn(s, s.next, in.(*net.TCPConn), raw)
+	s.conns[c.id] = c
+	s.seats.Come(s.clock(), c.id)
+	c.to(resting)
+	return c, nc
+}
+
+// A request that waits unread as its connection's rest is over keeps the connection, as it does when the gateway stops;
+// one that comes behind the end is no request.
+func TestTheIdleTimeoutCrossesARequest(t *testing.T) {
+	for _, end := range []struct {
+		name string
+		do   func(s *Server, now time.Duration)
+	}{{"idle timeout", func(s *Server, now time.Duration) { s.shutDue(now) }}, {"stop", func(s *Server, _ time.Duration) { s.StopTaking() }}} {
+		core, s, _ := start(t, 10)
+		c, nc := still(t, s)
+		io.WriteString(nc, usual("POST /api")+"abc")
+		until(t, "the request has come", func() bool { return c.unread() })
+		end.do(s, s.clock()+time.Hour)
+		if c.phase == ending {
+			t.Fatalf("%s: a connection was shut over an unread request", end.name)
+		}
+		s.wg.Add(1)
+		go c.run()
+		if end.name == "stop" {
+			if b, _ := io.ReadAll(nc); !strings.HasPrefix(string(b), "HTTP/1.1 503 ") {
+				t.Errorf("%s: answer %.40q, want 503", end.name, b)
+			}
+			continue
+		}
+		(<-core.came).Done(front.Final{Kind: front.Failed})
+
+		c, nc = still(t, s)
+		end.do(s, s.clock()+2*time.Hour)
+		if c.phase != ending {
+			t.Fatalf("%s: a resting connection was not shut", end.name)
+		}
+		io.WriteString(nc, usual("POST /api", "X-Txn: t2")+"abc")
+		until(t, "the request has come", func() bool { return c.unread() })
+		s.wg.Add(1)
+		go c.run()
+		if b, err := io.ReadAll(nc); len(b) > 0 || err != nil {
+			t.Errorf("%s: %.40q and %v behind the end, want a clean end", end.name, b, err)
+		}
+		nc.Close()
+		until(t, "the connection is closed", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.conns[c.id] == nil })
+		if n := core.n(); n != 1 {
+			t.Errorf("%s: %d requests were sent on, want 1", end.name, n)
+		}
+	}
+}
+
+// However many are ended at once, only some linger, and each is closed.
+func TestLingeringIsBounded(t *testing.T) {
+	_, s, addr := start(t, 40)
+	var all []*client
+	for range 30 {
+		all = append(all, dial(t, addr))
+	}
+	until(t, "all are held", func() bool { return s.Conns.Load() == 30 })
+	s.mu.Lock()
+	for _, c := range s.conns {
+		c.shut()
+	}
+	if s.lingering != s.lingerers {
+		t.Errorf("%d linger, want %d", s.lingering, s.lingerers)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		if status, _, _ := c.read(); status != 0 {
+			t.Errorf("%d, want the end of the connection", status)
+		}
+	}
+	until(t, "all are closed", func() bool { return s.Conns.Load() == 0 })
+	if s.lingering != 0 || s.seats.Len() != 0 {
+		t.Errorf("%d linger and %d seats are held, want none", s.lingering, s.seats.Len())
+	}
+}
+
+// Bodies are bounded in sum: hundreds of large ones must not take the process beyond its memory.
+func TestBodiesAreBoundedInSum(t *testing.T) {
+	core, s, addr := start(t, 40)
+	s.bodyRoom = 100 << 10
+	large := usual("POST /api", "Content-Length: 81920") + strings.Repeat("a", 81920)
+	first := dial(t, addr).send(large)
+	call := <-core.came
+	if status, _, _ := dial(t, addr).send(strings.Replace(large, "t1", "t2", 1)).read(); status != 503 {
+		t.Errorf("a second large body: %d, want 503", status)
+	}
+	call.Done(front.Final{Kind: front.Served})
+	first.read()
+	c := dial(t, addr).send(strings.Replace(large, "t1", "t3", 1))
+	call = <-core.came
+	c.nc.Close()
+	<-core.left
+	until(t, "its room is free", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.bodies == 0 })
+}
--- a/front/http/server_test.go
+++ b/front/http/server_test.go
@@ -43,7 +43,7 @@
 		{Name: "get", Effect: decide.Safe, Deadline: 4 * time.Second}, {Name: "put", Effect: decide.Keyed, Deadline: time.Second},
 		{Name: "pay", Effect: decide.Unsafe, Deadline: time.Second}}}
 	c := &core{came: make(chan *front.Call, 1000), left: make(chan string, 1000)}
-	s := New(NewRules(cfg), c, seats, func() time.Duration { return time.Since(began) }, func() bool { return true },
+	s := New(NewRules(cfg), c, Options{Conns: seats}, func() time.Duration { return time.Since(began) }, func() bool { return true },
 		slog.New(slog.DiscardHandler))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -555,12 +555,17 @@
 	l.Tries.Add(1)
 	t.call = &upstream.Call{Node: a.Server, Method: o.Class,
 		Done: func(r upstream.Result) { l.q.post(inEnd{t, r}) }}
+	due := l.now + left
+	t.call.Late = func() bool {
+		now := l.clock()
+		return now >= due || a.Before > 0 && now >= a.Before || o.Left != nil && o.Left()
+	}
 	if o.Form != nil {
-		t.call.Params = o.Form(t.n, left)
+		t.call.Form = func() []byte { return o.Form(t.n, due-l.clock()) }
 	} else {
 		t.call.Params = o.params(t.n, left)
 	}
-	l.timers.timeOut(t, l.now+left)
+	l.timers.timeOut(t, due)
 	if l.owed != nil {
 		l.owed.intend(t)
 		return
--- a/http1/http1.go
+++ b/http1/http1.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -16,6 +17,8 @@
 type Limits struct {
 	Head int // of the first line and the fields together
 	Body int
+	// Room is asked before a body grows by so many bytes; false ends the message. nil: always.
+	Room func(bytes int) bool
 }
 
 // Field is one line of a head; Name is as it came.
@@ -256,12 +259,7 @@
 		if length > r.lim.Body {
 			return nil, bad(413, "a body of %d bytes, want %d at most", length, r.lim.Body)
 		}
-		if length == 0 {
-			return nil, nil
-		}
-		b := make([]byte, length)
-		_, err := io.ReadFull(r.r, b)
-		return b, ended(err)
+		return r.more(nil, length)
 	}
 	var b []byte
 	for {
@@ -281,10 +279,8 @@
 		if len(b)+n > r.lim.Body {
 			return nil, bad(413, "a body of more than %d bytes", r.lim.Body)
 		}
-		at := len(b)
-		b = append(b, make([]byte, n)...)
-		if _, err := io.ReadFull(r.r, b[at:]); err != nil {
-			return nil, ended(err)
+		if b, err = r.more(b, n); err != nil {
+			return nil, err
 		}
 		var end [2]byte
 		if _, err := io.ReadFull(r.r, end[:]); err != nil {
@@ -305,6 +301,26 @@
 	}
 }
 
+// bodyStep is how far a body grows at once: a length that is only announced costs no memory.
+const bodyStep = 16 << 10
+
+// more reads n further bytes of a body.
+func (r *Reader) more(b []byte, n int) ([]byte, error) {
+	for n > 0 {
+		step := min(n, bodyStep)
+		if r.lim.Room != nil && !r.lim.Room(step) {
+			return nil, bad(503, "no room for a body of more than %d bytes", len(b))
+		}
+		at := len(b)
+		b = slices.Grow(b, step)[:at+step]
+		if _, err := io.ReadFull(r.r, b[at:]); err != nil {
+			return nil, ended(err)
+		}
+		n -= step
+	}
+	return b, nil
+}
+
 func ended(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -366,11 +382,23 @@
 	return nil, bad(502, "more than %d answers of 1xx", interims)
 }
 
-// rest reads up to the end of the connection.
-func (r *Reader) rest() ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.r, int64(r.lim.Body)+1))
-	if err == nil && len(b) > r.lim.Body {
-		err = bad(502, "a body of more than %d bytes", r.lim.Body)
+// rest reads up to the end of the connection. A reset is no end: what came before it is not whole.
+func (r *Reader) rest() (b []byte, err error) {
+	for {
+		n := r.r.Buffered()
+		if n == 0 {
+			if _, err := r.r.Peek(1); err == io.EOF {
+				return b, nil
+			} else if err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if len(b)+n > r.lim.Body {
+			return nil, bad(502, "a body of more than %d bytes", r.lim.Body)
+		}
+		if b, err = r.more(b, n); err != nil {
+			return nil, err
+		}
 	}
-	return b, err
 }
--- /dev/null
+++ b/upstream/http/late_test.go
@@ -0,0 +1,186 @@
+package http
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"winghatch/decide"
+)
+
+// slow is an address whose connections come up only once open is called: its queue of those that wait is full.
+func slow(t *testing.T) (addr string, open func(serve func(nc net.Conn))) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }) // a queue of one, from now on
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = ln.Addr().String()
+	var fill []net.Conn
+	for {
+		nc, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		fill = append(fill, nc)
+	}
+	return addr, func(serve func(nc net.Conn)) {
+		for _, nc := range fill {
+			nc.Close()
+		}
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go serve(nc)
+			}
+		}()
+	}
+}
+
+// An attempt whose time, window or client was over before its connection came up is not written: a repeat behind the
+// window would run a second time, and nothing is sent for a client that has gone.
+func TestAnAttemptThatIsLateAtItsWrite(t *testing.T) {
+	addr, open := slow(t)
+	p := newPool(t, Options{ConnectTimeout: time.Minute}, Server{ID: "a", Addr: addr})
+	var late atomic.Bool
+	call, ch := attempt("a", "late")
+	call.Late = late.Load
+	p.Send(call)
+	late.Store(true)
+	came := make(chan string, 10)
+	open(func(nc net.Conn) {
+		for r := bufio.NewReader(nc); ; {
+			txn, err := request(r)
+			if err != nil {
+				return
+			}
+			came <- txn
+			io.WriteString(nc, fine+"\r\nhi")
+		}
+	})
+	if got := wait(t, ch); got.Outcome != decide.Moot {
+		t.Errorf("outcome %v, want %v", got.Outcome, decide.Moot)
+	}
+	// Its connection is good for the next, whose bytes are made at the write.
+	call, ch = attempt("a", "next")
+	next := call.Params
+	call.Params, call.Form = nil, func() []byte { return next }
+	p.Send(call)
+	if got := wait(t, ch); got.Outcome != decide.OK {
+		t.Errorf("the next: outcome %v, want %v", got.Outcome, decide.OK)
+	}
+	if txn := <-came; txn != "next" || len(came) > 0 {
+		t.Errorf("the server got %q, want the next alone", txn)
+	}
+	if n := p.Dials.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+	call, ch = attempt("a", "rests") // on the connection that rests now
+	call.Late = late.Load
+	p.Send(call)
+	if got := wait(t, ch); got.Outcome != decide.Moot || len(came) > 0 {
+		t.Errorf("outcome %v with %d at the server, want %v and none", got.Outcome, len(came), decide.Moot)
+	}
+}
+
+// The last byte decides: an attempt that the socket's buffer did not take whole is asked again before it.
+func TestAnAttemptThatIsLateBeforeItsLastByte(t *testing.T) {
+	begin := make(chan struct{})
+	ended := make(chan error, 1)
+	addr := scripted(t, func(nc net.Conn, r *bufio.Reader) {
+		<-begin
+		_, err := request(r)
+		ended <- err
+	})
+	p := newPool(t, Options{}, Server{ID: "a", Addr: addr})
+	var late atomic.Bool
+	call, ch := attempt("a", "1")
+	call.Params = append([]byte("POST / HTTP/1.1\r\nX-Txn: 1\r\nContent-Length: 33554432\r\n\r\n"), make([]byte, 32<<20)...)
+	call.Late = late.Load
+	p.Send(call)
+	for {
+		p.mu.Lock()
+		written := false
+		for k := range p.all {
+			written = k.rests
+		}
+		p.mu.Unlock()
+		if written {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	late.Store(true)
+	close(begin)
+	if got := wait(t, ch); got.Outcome != decide.Moot {
+		t.Errorf("outcome %v, want %v", got.Outcome, decide.Moot)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the whole request reached the server")
+	}
+}
+
+// An answer of no stated length is whole where the connection ends, and may have run but is not whole where it is reset;
+// long ones are taken up to the bound, and in sum no further than the pool has room.
+func TestAnswersUpToTheEnd(t *testing.T) {
+	long := strings.Repeat("a", 200<<10)
+	addr := once(t, func(nc net.Conn, txn string) {
+		defer nc.Close()
+		head := "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+		switch txn {
+		case "end":
+			io.WriteString(nc, head+"hi")
+		case "long":
+			io.WriteString(nc, head+long)
+		case "reset":
+			io.WriteString(nc, head+"h")
+			nc.(*net.TCPConn).SetLinger(0)
+		case "endless":
+			for {
+				if _, err := io.WriteString(nc, head+long); err != nil {
+					return
+				}
+			}
+		}
+	})
+	p := newPool(t, Options{Body: 1 << 20, Bodies: 2 << 20}, Server{ID: "a", Addr: addr})
+	for _, c := range []struct {
+		txn  string
+		want decide.Outcome
+		body string
+	}{{"end", decide.OK, "hi"}, {"long", decide.OK, long}, {"reset", decide.Reset, ""}, {"endless", decide.Error, ""}} {
+		call, ch := attempt("a", c.txn)
+		p.Send(call)
+		if got := wait(t, ch); got.Outcome != c.want || string(got.Body) != c.body {
+			t.Errorf("%s: outcome %v and %d bytes, want %v and %d", c.txn, got.Outcome, len(got.Body), c.want, len(c.body))
+		}
+	}
+	for end := time.Now().Add(10 * time.Second); p.bodies.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes of answers are still counted", p.bodies.Load())
+		}
+	}
+	p.o.Bodies = 100 << 10
+	call, ch := attempt("a", "long")
+	p.Send(call)
+	if got := wait(t, ch); got.Outcome != decide.Error {
+		t.Errorf("beyond the sum: outcome %v, want %v", got.Outcome, decide.Error)
+	}
+}
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -31,6 +31,7 @@
 	Conns          int                      // to all servers together
 	Idle           time.Duration            // a connection at rest is closed after this, before the server's machine does it
 	Body           int                      // bytes of an answer
+	Bodies         int64                    // of all answers that are being read; 0: any
 	Units          float64                  // most that an answer may charge; 0: any
 	Figure         func(name string) string // of a load report, in the core's words; nil: as it came
 }
@@ -59,6 +60,7 @@
 	keep    keep.Book          // for how long those are good
 	began   time.Time
 	closed  bool
+	bodies  atomic.Int64 // bytes of answers that are being read
 	wg      sync.WaitGroup
 	ctx     context.Context
 	stop    context.CancelFunc
@@ -83,7 +85,8 @@
 	rests bool           // a writeRest is under way
 	dead  bool
 
-	begun bool // an answer has begun; the reader's own
+	begun bool  // an answer has begun; the reader's own
+	held  int64 // counted in Pool.bodies; the reader's own
 
 	// Of the read under way; see Read.
 	buf  []byte
@@ -207,6 +210,11 @@
 		c.Broke()
 		return
 	}
+	if c.Late != nil && c.Late() {
+		p.mu.Unlock()
+		c.Finish(upstream.Result{Outcome: decide.Moot})
+		return
+	}
 	now := time.Since(p.began)
 	limit := p.keep.Limit(now)
 	for len(s.idle) > 0 {
@@ -266,6 +274,9 @@
 func (k *conn) start() {
 	c := k.call
 	b := c.Params
+	if c.Form != nil {
+		b = c.Form()
+	}
 	n, err := sock.WriteNow(k.raw, b)
 	if n == len(b) {
 		c.Begin()
@@ -291,6 +302,14 @@
 			return
 		}
 	}
+	if c.Late != nil && c.Late() {
+		k.p.mu.Lock()
+		k.call = nil
+		k.kill()
+		k.p.mu.Unlock()
+		c.Finish(upstream.Result{Outcome: decide.Moot})
+		return
+	}
 	if c.Begin() {
 		if _, err := k.nc.Write(b[len(b)-1:]); err != nil {
 			k.nc.Close()
@@ -339,19 +358,41 @@
 		}
 		return
 	}
-	k.rd = http1.NewReader(bufio.NewReaderSize(k, 4<<10), http1.Limits{Head: 8 << 10, Body: p.o.Body})
-	if k.call != nil {
+	k.rd = http1.NewReader(bufio.NewReaderSize(k, 4<<10), http1.Limits{Head: 8 << 10, Body: p.o.Body, Room: k.room})
+	late := k.call
+	switch {
+	case k.call == nil:
+		k.settle()
+	case k.call.Late != nil && k.call.Late(): // connecting took that long
+		k.call = nil
+		k.settle()
+	default:
+		late = nil
 		p.keep.Used(time.Since(p.began), 0)
 		k.start()
-	} else {
-		k.settle()
 	}
 	p.mu.Unlock()
+	if late != nil {
+		late.Finish(upstream.Result{Outcome: decide.Moot})
+	}
 	for k.answer() {
+		p.bodies.Add(-k.held)
+		k.held = 0
 	}
+	p.bodies.Add(-k.held)
 	k.nc.Close()
 }
 
+// room counts bytes of an answer in: servers whose answers never end must not take the process beyond its memory.
+func (k *conn) room(n int) bool {
+	if k.p.o.Bodies > 0 && k.p.bodies.Load()+int64(n) > k.p.o.Bodies {
+		return false
+	}
+	k.held += int64(n)
+	k.p.bodies.Add(int64(n))
+	return true
+}
+
 // Read reads from the socket. Each step holds the pool's lock, so that Send never takes a connection on which a byte
 // was read that nobody has looked at yet.
 func (k *conn) Read(b []byte) (int, error) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -55,6 +55,13 @@
 	Params []byte
 	Done   func(Result)
 
+	// Late reports, asked at the write, that the call must not leave any more: its client has gone, its time or its
+	// window is over. What waits for a connection, or half written in a full buffer, is else sent long after the
+	// decision. nil: never.
+	Late func() bool
+	// Form makes the bytes at the write, so that the time they tell is what is left then; nil: Params.
+	Form func() []byte
+
 	Carrier any // of another transport than this package's Pool: what carries the call
 
 	state atomic.Int32
@@ -206,6 +213,11 @@
 }
 
 func (k *conn) write(l *link.Conn, c *Call) {
+	if c.Late != nil && c.Late() {
+		k.drop(c)
+		c.Finish(Result{Outcome: decide.Moot})
+		return
+	}
 	data := jsonrpc.AppendCall(nil, jsonrpc.ID(strconv.FormatUint(c.id, 10)), c.Method, c.Params)
 	if l.SendIf(data, c.Begin) != nil {
 		k.drop(c)
