Quotas of gateways that hear nothing of each other are kept by chance, by the metered demand

Its settings have no peers; 321 gateways, a plan with a cap of two attempts out over all of them, 1,411 customers. From the logs of all gateways each customer's true store and attempts out were computed: of 19,781 requests sent of the capped plan 12,867 were beyond it (58,099 of 92,396 points of cost), of the smallest plan 5,459 of 18,869 (22,408). The largest customer had 924 of 935 beyond its quota: each gateway lets one out.

At fault: lacks (decide.go) rounds a gateway's part of a cap up to one, and a bucket that meets a customer once lets it pass; meter used what answers tell for rates alone, and there only to raise a part.

Change: where gateways hear nothing of each other and there is a meter, a request is let in with the inverse of its customer's demand, metered use over the share let in; of a customer not metered lately, by the usual demand of its plan for each time that one asked here. Nothing else draws on it: with peers or homes the same events give the same actions as before.

The model test fails without the change: 10.3 attempts out where 2 are allowed.

--- a/decide/state.go
+++ b/decide/state.go
@@ -28,6 +28,7 @@
 	out            []Action
 	classes        map[string]*class
 	plans          map[string]int
+	perAsk         []float64         // by plan, the usual demand of a customer for each time it asked here, as a logarithm
 	terms          map[uint64]*terms // of customers that were put on other terms
 	servers        map[string]*server
 	order          []*server // by ID
@@ -91,13 +92,15 @@
 
 	usedSum, askedSum, askedTold float64
 
-	used            rate
-	metered, factor float64 // what the meter last told, units a second; factor on the part by it
-	meteredAt       time.Duration
-	told            []told
-	queued          []bool
-	open            int
-	store           float64 // units of this gateway's slice of the ceiling
+	used              rate
+	metered, factor   float64 // what the meter last told, units a second; factor on the part by it
+	meteredAt         time.Duration
+	demand, asks      float64 // see Gateway.demand; at demandAt, askedAt
+	demandAt, askedAt time.Duration
+	told              []told
+	queued            []bool
+	open              int
+	store             float64 // units of this gateway's slice of the ceiling
 
 	fleet        rate          // units that all gateways ask of this home
 	asksAll      float64       // units a second that all gateways ask, as the home told ...
@@ -194,6 +197,7 @@
 			g.quickest = k.Aim.Seconds()
 		}
 	}
+	g.perAsk = slices.Repeat([]float64{math.Log(perAskAtStart)}, len(cfg.Plans))
 	for i, p := range cfg.Plans {
 		g.plans[p.Name] = i
 	}
@@ -262,6 +266,7 @@
 	c := &customer{key: key, plan: p, planNo: planNo, spread: g.cfg.Gateways, at: g.started, last: g.now,
 		told: make([]told, len(g.peers)), queued: make([]bool, len(g.peers))}
 	c.part, c.factor, c.toldAt = 1/float64(c.spread), 1, -partMemory
+	c.demandAt = -time.Hour // never
 	if !g.mesh {
 		c.whole = g.startsAt(c)
 	}
