A class found slow is not turned away for good; cold servers by the fleet's sum, a model

Looked for: what makes a process turn away all it gets. By reading, one way has no end: a class whose usual time was learned close to its aim is refused as hopeless (decide, decide.go), and base moves by answers alone, of which there are none then. A test shows it: 0 of 200 requests sent on in 40 s, at servers that are quick again.

Change: a usual time over the first guess fades without new answers, in the time for which servers are remembered (estimate, base).

Also new is a model of the rule on cold servers: 1, 3, 30 and 300 gateways, even traffic, a burst of 2.4 times and gateways that start anew, summed over windows of the settings. It passes without a change, and fails with the margin at 1.5, with full first budgets, or without the budget.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand"
 	"testing"
 	"time"
 )
@@ -47,3 +49,101 @@
 		t.Errorf("the cold server got %d in 2 s, a warm one %v: want some, %v at most", cold, usual, most)
 	}
 }
+
+// coldFleet is many gateways that send what comes to them, to servers that all answer in time.
+type coldFleet struct {
+	t    *testing.T
+	cfg  Config
+	gws  []*Gateway
+	due  map[time.Duration][]func()
+	now  time.Duration
+	n    int
+	sent map[string]int
+}
+
+func (f *coldFleet) start(i int, servers []Server) {
+	f.cfg.Rank = i
+	f.n++
+	g, err := New(f.cfg, int64(f.n))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	g.Handle(f.now, FleetUpdate{Kind: FleetFull, Servers: servers})
+	f.gws[i] = g
+}
+
+// step lets ten milliseconds pass in which requests come at a rate of so many a second, at gateways by chance.
+func (f *coldFleet) step(rng *rand.Rand, rate float64) {
+	f.now += 10 * ms
+	for _, do := range f.due[f.now] {
+		do()
+	}
+	delete(f.due, f.now)
+	if f.now%(100*ms) == 0 {
+		for _, g := range f.gws {
+			g.Handle(f.now, TimerFired{beatToken})
+		}
+	}
+	for range poisson(rng, rate/100) {
+		f.n++
+		id, g := fmt.Sprint(f.n), f.gws[rng.Intn(len(f.gws))]
+		for _, s := range find[Send](g.Handle(f.now, Request{ID: id, Class: "get", Plan: "wide", Customer: id, Units: 1,
+			Deadline: f.now + 2*time.Second, Spread: 1})) {
+			f.sent[s.Server]++
+			f.due[f.now+50*ms] = append(f.due[f.now+50*ms], func() {
+				g.Handle(f.now, AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 50 * ms, Done: true})
+			})
+		}
+	}
+}
+
+// TestColdServersByTheFleetsSum: whatever the number of gateways, also where each has less than a request for a cold server,
+// under a burst, and where gateways start anew meanwhile, their sum stays within what the settings allow and chance.
+func TestColdServersByTheFleetsSum(t *testing.T) {
+	const servers, perServer = 10, 40.0 // requests a second that a warm server takes
+	for _, gateways := range []int{1, 3, 30, 300} {
+		for _, c := range []struct {
+			name           string
+			burst, restart float64 // times the traffic; part of the gateways that start anew a second
+		}{{"even", 1, 0}, {"burst", 2.4, 0}, {"restarts", 1, 0.3}} {
+			rng := rand.New(rand.NewSource(int64(gateways)))
+			cfg := testConfig()
+			cfg.Limits.Peers, cfg.Gateways = false, gateways // the quota is no matter here
+			f := &coldFleet{t: t, cfg: cfg, gws: make([]*Gateway, gateways), due: map[time.Duration][]func(){}, sent: map[string]int{}}
+			var list []Server
+			for i := range servers {
+				list = append(list, Server{ID: fmt.Sprint("s", i), Zone: "a"})
+			}
+			for i := range gateways {
+				f.start(i, list)
+			}
+			for f.now < 15*time.Second {
+				f.step(rng, servers*perServer)
+			}
+			list[0].Started = f.now
+			for _, g := range f.gws {
+				g.Handle(f.now, FleetUpdate{Kind: FleetDelta, Servers: list[:1]})
+			}
+			began, before := f.now, f.sent["s0"]
+			for f.now < began+4*time.Second {
+				from := f.sent["s0"]
+				for end := f.now + cfg.Safety.FallWindow; f.now < end; {
+					f.step(rng, c.burst*servers*perServer)
+					if c.restart > 0 && rng.Float64() < c.restart*float64(gateways)/100 {
+						f.start(rng.Intn(gateways), list)
+					}
+				}
+				// A warm server of like size takes what it got before the burst.
+				can := cfg.Safety.ColdFrom + (1-cfg.Safety.ColdFrom)*float64(f.now-began-cfg.Safety.FallWindow)/float64(cfg.Safety.ColdFor)
+				n := cfg.Safety.FallMultiple * can * perServer * cfg.Safety.FallWindow.Seconds()
+				if got := float64(f.sent["s0"] - from); got > n+2*math.Sqrt(n)+2 {
+					t.Errorf("%d gateways, %s: the cold server got %.0f within %v at %v, want %.1f and chance at most", gateways, c.name, got,
+						cfg.Safety.FallWindow, f.now-began, n)
+				}
+			}
+			if f.sent["s0"] == before {
+				t.Errorf("%d gateways, %s: the cold server got nothing", gateways, c.name)
+			}
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -614,7 +614,14 @@
 
 // estimate is the time in seconds that an answer of the server to a request of the class should take.
 func (g *Gateway) estimate(s *server, k *class) float64 {
-	return k.base * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
+	return g.base(k) * g.slowness(s) * (1 + g.load(s)) / (1 + s.outAvg)
+}
+
+// base is a class's usual time. A long one fades without new answers: once it makes every request hopeless,
+// none come, and the gateway would turn the class away for good. It guards against any spell that ended.
+func (g *Gateway) base(k *class) float64 {
+	first := firstGuess * k.Aim.Seconds()
+	return min(k.base, first+(k.base-first)*math.Exp(-(g.now-k.at).Seconds()/g.memory()))
 }
 
 // slowness is a server's, faded by the time since its last answer.
@@ -659,7 +666,7 @@
 	g.note(s, k, x, missed)
 	g.news.add(sight{s.short, k.no, x, missed})
 	if !missed {
-		k.n++
+		k.n, k.at = k.n+1, g.now
 		k.base += max(baseGain, 1/k.n) * (took.Seconds() - k.base)
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -63,6 +63,7 @@
 	no   int
 	base float64       // usual seconds of an answer
 	n    float64       // answers seen
+	at   time.Duration // of the last
 	left time.Duration // the most time that a first try came with
 }
 
--- /dev/null
+++ b/decide/stuck_test.go
@@ -0,0 +1,35 @@
+package decide
+
+import (
+	"testing"
+	"time"
+)
+
+// A gateway whose last answers of a class were slow must not refuse that class as hopeless for good: without an attempt
+// it would never learn that the servers are quick again.
+func TestSlowAnswersAreForgottenWithoutNewOnes(t *testing.T) {
+	r := newRig(t, nil)
+	for range 400 {
+		id, acts := r.ask("get", "wide", "c", 1)
+		for _, s := range find[Send](acts) {
+			for range 49 {
+				r.now += 20 * ms
+				r.do(TimerFired{beatToken})
+			}
+			r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 980 * ms, Done: true})
+		}
+	}
+	let, last := 0, r.now
+	for end := r.now + 40*time.Second; r.now < end; r.now += 200 * ms {
+		r.do(TimerFired{beatToken})
+		id, acts := r.ask("get", "wide", "c", 1)
+		for _, s := range find[Send](acts) {
+			let++
+			last = r.now
+			r.do(AttemptEnded{ID: id, Server: s.Server, Outcome: OK, Took: 50 * ms, Done: true})
+		}
+	}
+	if let < 50 || r.now-last > time.Second {
+		t.Errorf("%d of 200 requests were sent on behind slow answers, the last %v before the end", let, r.now-last)
+	}
+}
