The watch knows what it missed within 5.7 s; one that ends with an answer goes on

Need: a change counts as told 6 s after a watch fell silent, also where the first new connection fails. With waits of 2 s, 1 s of patience, 1 s to connect and 2 s for the whole list a second try came after 9.2 s.

Change: 0.5 s of patience, 0.5 s to connect and 1 s for the whole list of an agent that answers at once, so 5.7 s with two failures (Options.Known, held by a test); the wait is 2 s by default too, as each call to the agent is free where lists are pushed. An answer with Connection: close made the next call fail and a whole list be asked after a pause; now the watch goes on where it was, on a new connection.

Tests force silence at once, late and twice, a reset, an end instead of news, a whole list as answer that leaves out a server, indented and byte by byte, an outage, a reload to a dead address and back. Seen to fail: the continued watch, and the bound at a wait of 20 s.

--- a/nodelist/registry/registry.go
+++ b/nodelist/registry/registry.go
@@ -115,10 +115,19 @@
 	Log  *slog.Logger
 
 	// Hold is how long a watch waits for news; Silent how much longer an answer may take before the connection counts as
-	// dead; Again the pause after a failure. Zeroes stand for 20 s, 1 s and 100 ms.
+	// dead; Again the pause after a failure. Zeroes stand for 2 s, 500 ms and 100 ms. See Known.
 	Hold, Silent, Again time.Duration
 }
 
+// Known is the longest that a change stays unknown here after the watch fell silent, where the first connection behind it
+// fails too and the second does not. A change counts as told 6 s after the silence at the latest, or 2 s after the wait is
+// over if that is later: Hold trades that time against a call for each wait that brings no news.
+func (o Options) Known() time.Duration {
+	o = o.whole()
+	again := o.Again + connectFor + wholeFor
+	return o.Hold + o.Silent + 2*again
+}
+
 // Watch follows one address after the other. Make it with New.
 type Watch struct {
 	o    Options
@@ -129,16 +138,21 @@
 
 // New returns a watch of an address.
 func New(addr string, o Options) *Watch {
+	return &Watch{o: o.whole(), addr: addr}
+}
+
+// whole puts the usual times in the place of zeroes.
+func (o Options) whole() Options {
 	if o.Hold == 0 {
-		o.Hold = 20 * time.Second
+		o.Hold = 2 * time.Second
 	}
 	if o.Silent == 0 {
-		o.Silent = time.Second
+		o.Silent = 500 * time.Millisecond
 	}
 	if o.Again == 0 {
 		o.Again = 100 * time.Millisecond
 	}
-	return &Watch{o: o, addr: addr}
+	return o
 }
 
 // Move follows another address from now on.
@@ -179,21 +193,15 @@
 // bodyMost bounds an answer; connectFor and wholeFor how long connecting and an answer that owes no wait may take.
 const (
 	bodyMost   = 1 << 20
-	connectFor = time.Second
-	wholeFor   = 2 * time.Second
+	connectFor = 500 * time.Millisecond
+	wholeFor   = time.Second
 )
 
-// follow opens a connection, takes the whole list and watches until something fails.
+// follow takes the whole list and watches until something fails.
 func (w *Watch) follow(ctx context.Context, addr string) error {
-	d := net.Dialer{Timeout: connectFor, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return err
-	}
-	defer nc.Close()
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	rd := http1.NewReader(bufio.NewReaderSize(nc, 4<<10), http1.Limits{Head: 8 << 10, Body: bodyMost})
-	l, err := w.get(nc, rd, "/registry/instances", wholeFor)
+	c := &call{ctx: ctx, addr: addr}
+	defer c.close()
+	l, err := c.get("/registry/instances", wholeFor)
 	if err != nil {
 		return err
 	}
@@ -204,7 +212,7 @@
 	rev := l.Rev
 	for {
 		path := "/registry/instances?from=" + strconv.FormatUint(rev, 10) + "&hold_ms=" + strconv.FormatInt(w.o.Hold.Milliseconds(), 10)
-		l, err := w.get(nc, rd, path, w.o.Hold+w.o.Silent)
+		l, err := c.get(path, w.o.Hold+w.o.Silent)
 		if err != nil {
 			return err
 		}
@@ -219,16 +227,54 @@
 	}
 }
 
+// call is the connection to an address. One that ends with an answer is opened anew for the next, at once, so that the
+// watch goes on where it was.
+type call struct {
+	ctx  context.Context
+	addr string
+	nc   net.Conn
+	rd   *http1.Reader
+	stop func() bool
+}
+
+func (c *call) open() error {
+	d := net.Dialer{Timeout: connectFor, KeepAlive: -1}
+	nc, err := d.DialContext(c.ctx, "tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	c.nc = nc
+	c.stop = context.AfterFunc(c.ctx, func() { nc.Close() })
+	c.rd = http1.NewReader(bufio.NewReaderSize(nc, 4<<10), http1.Limits{Head: 8 << 10, Body: bodyMost})
+	return nil
+}
+
+func (c *call) close() {
+	if c.nc != nil {
+		c.stop()
+		c.nc.Close()
+		c.nc = nil
+	}
+}
+
 // get asks once.
-func (w *Watch) get(nc net.Conn, rd *http1.Reader, path string, within time.Duration) (*List, error) {
-	nc.SetDeadline(time.Now().Add(within))
-	if _, err := nc.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: service.internal\r\n\r\n")); err != nil {
+func (c *call) get(path string, within time.Duration) (*List, error) {
+	if c.nc == nil {
+		if err := c.open(); err != nil {
+			return nil, err
+		}
+	}
+	c.nc.SetDeadline(time.Now().Add(within))
+	if _, err := c.nc.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: service.internal\r\n\r\n")); err != nil {
 		return nil, err
 	}
-	r, err := rd.Response()
+	r, err := c.rd.Response()
 	if err != nil {
 		return nil, err
 	}
+	if r.Close {
+		c.close()
+	}
 	if r.Status != 200 {
 		return nil, fmt.Errorf("registry: %s: status %d, want 200", path, r.Status)
 	}
