An attempt with less than a millisecond left is not written, as none can be told

At its write an attempt told 1 ms at least, more than was left where it had less; the time told is to be what the client has left, never more. Late says so now, with a test on the loop's clock.

--- a/front/http/request.go
+++ b/front/http/request.go
@@ -199,7 +199,7 @@
 	b := make([]byte, 0, 192+len(p.target)+len(p.txn)+len(p.key)+len(p.body))
 	b = append(append(append(append(b, p.method...), ' '), p.target...), " HTTP/1.1\r\nHost: service.internal\r\nX-Txn: "...)
 	b = append(append(b, p.txn...), "\r\nX-Remaining-Ms: "...)
-	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	b = strconv.AppendInt(b, max(0, left.Milliseconds()), 10)
 	if p.key != "" {
 		b = append(append(b, "\r\nIdempotency-Key: "...), p.key...)
 	}
--- a/gateway/late_test.go
+++ b/gateway/late_test.go
@@ -22,12 +22,18 @@
 }
 func (h *held) CloseIdle(string) {}
 
-// sends is a core that sends each request on, its attempt to be written within 200 ms.
+var unbounded atomic.Bool // the attempts have no window
+
+// sends is a core that sends each request on, its attempt to be written within 200 ms where it has a window.
 type sends struct{}
 
 func (sends) Handle(now time.Duration, ev decide.Event) []decide.Action {
 	if r, ok := ev.(decide.Request); ok {
-		return []decide.Action{decide.Send{ID: r.ID, Server: "s", Timeout: 500 * time.Millisecond, Before: now + 200*time.Millisecond}}
+		s := decide.Send{ID: r.ID, Server: "s", Timeout: 500 * time.Millisecond}
+		if !unbounded.Load() {
+			s.Before = now + 200*time.Millisecond
+		}
+		return []decide.Action{s}
 	}
 	return nil
 }
@@ -59,6 +65,14 @@
 	if !c.Late() {
 		t.Error("it may be written behind its window")
 	}
+	unbounded.Store(true)
+	c = ask("c")
+	if now.Add(int64(399 * time.Millisecond)); c.Late() || string(c.Form()) != "1" {
+		t.Errorf("with a millisecond left it tells %s, late %t, want 1 and false", c.Form(), c.Late())
+	}
+	if now.Add(1); !c.Late() {
+		t.Error("it may be written with less left than can be told")
+	}
 	c = ask("b")
 	if c.Late() {
 		t.Error("a new one is late")
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -558,7 +558,7 @@
 	due := l.now + left
 	t.call.Late = func() bool {
 		now := l.clock()
-		return now >= due || a.Before > 0 && now >= a.Before || o.Left != nil && o.Left()
+		return due-now < leastTold || a.Before > 0 && now >= a.Before || o.Left != nil && o.Left()
 	}
 	if o.Form != nil {
 		t.call.Form = func() []byte { return o.Form(t.n, due-l.clock()) }
@@ -573,6 +573,9 @@
 	l.nodes.Send(t.call)
 }
 
+// leastTold is the least time that an attempt can tell its server, in whole milliseconds; with less left it is not written.
+const leastTold = time.Millisecond
+
 // params is what a node is told of an attempt.
 func (o *open) params(n int, left time.Duration) []byte {
 	b := make([]byte, 0, 160+len(o.Work))
