Connections in the field's terms: idle and request timeouts, limit and eviction

Need: where our words hid a standard concept it is renamed as the code is touched.

No behaviour changes.

--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -36,7 +36,7 @@
 	core, s, addr := start(t, 10)
 	c := rests(t, core, addr)
 	s.Drain()
-	s.StopTaking()
+	s.StopAccepting()
 	if status, _, _ := c.read(); status != 0 {
 		t.Fatalf("%d, want the end of the connection", status)
 	}
@@ -57,14 +57,14 @@
 		defer s.mu.Unlock()
 		n := 0
 		for _, c := range s.conns {
-			if c.begun && c.phase == asking {
+			if c.begun && c.phase == reading {
 				n++
 			}
 		}
 		return n == 1 && len(s.conns) == 2
 	})
 	s.Drain()
-	s.StopTaking()
+	s.StopAccepting()
 	half.send(whole[40:])
 	if status, _, h := half.read(); status != 503 || h.Get("Connection") != "close" {
 		t.Errorf("%d, Connection %q, want 503 and close", status, h.Get("Connection"))
@@ -113,7 +113,7 @@
 				defer s.mu.Unlock()
 				n := 0
 				for _, c := range s.conns {
-					n = len(c.ahead) + c.dropped + c.rd.Buffered()
+					n = len(c.readAhead) + c.dropped + c.rd.Buffered()
 				}
 				return n >= len(text)-len(usual("POST /api"))-3
 			})
@@ -181,8 +181,8 @@
 	s.next++
 	c := newConn(s, s.next, in.(*net.TCPConn), raw)
 	s.conns[c.id] = c
-	s.seats.Come(s.clock(), c.id)
-	c.to(resting)
+	s.limit.Accept(s.clock(), c.id)
+	c.to(idle)
 	return c, nc
 }
 
@@ -192,13 +192,13 @@
 	for _, end := range []struct {
 		name string
 		do   func(s *Server, now time.Duration)
-	}{{"idle timeout", func(s *Server, now time.Duration) { s.shutDue(now) }}, {"stop", func(s *Server, _ time.Duration) { s.StopTaking() }}} {
+	}{{"idle timeout", func(s *Server, now time.Duration) { s.closeExpired(now) }}, {"stop", func(s *Server, _ time.Duration) { s.StopAccepting() }}} {
 		core, s, _ := start(t, 10)
 		c, nc := still(t, s)
 		io.WriteString(nc, usual("POST /api")+"abc")
 		until(t, "the request has come", func() bool { return c.unread() })
 		end.do(s, s.clock()+time.Hour)
-		if c.phase == ending {
+		if c.phase == closing {
 			t.Fatalf("%s: a connection was shut over an unread request", end.name)
 		}
 		s.wg.Add(1)
@@ -213,8 +213,8 @@
 
 		c, nc = still(t, s)
 		end.do(s, s.clock()+2*time.Hour)
-		if c.phase != ending {
-			t.Fatalf("%s: a resting connection was not shut", end.name)
+		if c.phase != closing {
+			t.Fatalf("%s: a idle connection was not shut", end.name)
 		}
 		io.WriteString(nc, usual("POST /api", "X-Txn: t2")+"abc")
 		until(t, "the request has come", func() bool { return c.unread() })
@@ -243,8 +243,8 @@
 	for _, c := range s.conns {
 		c.shut()
 	}
-	if s.lingering != s.lingerers {
-		t.Errorf("%d linger, want %d", s.lingering, s.lingerers)
+	if s.lingering != s.lingeringMost {
+		t.Errorf("%d linger, want %d", s.lingering, s.lingeringMost)
 	}
 	s.mu.Unlock()
 	for _, c := range all {
@@ -253,8 +253,8 @@
 		}
 	}
 	until(t, "all are closed", func() bool { return s.Conns.Load() == 0 })
-	if s.lingering != 0 || s.seats.Len() != 0 {
-		t.Errorf("%d linger and %d seats are held, want none", s.lingering, s.seats.Len())
+	if s.lingering != 0 || s.limit.Len() != 0 {
+		t.Errorf("%d linger and %d seats are held, want none", s.lingering, s.limit.Len())
 	}
 }
 
--- a/front/http/conn.go
+++ b/front/http/conn.go
@@ -10,42 +10,42 @@
 	"syscall"
 	"time"
 
+	"winghatch/connlimit"
 	"winghatch/front"
 	"winghatch/http1"
-	"winghatch/seats"
 	"winghatch/sock"
 )
 
-// phase is what a connection is at; package seats is told of each change.
+// phase is what a connection is at; package connlimit is told of each change.
 type phase int
 
 const (
-	asking  phase = iota // its request is not whole; a new one asks from the start
-	busy                 // a request is open
-	resting              // between two requests
-	ending               // its writing side is shut: nothing that comes is a request
+	reading phase = iota // its request is not whole; a new one asks from the start
+	active               // a request is open
+	idle                 // between two requests
+	closing              // its writing side is shut: nothing that comes is a request
 )
 
 type conn struct {
 	s   *Server
-	id  seats.ID
+	id  connlimit.ID
 	nc  *net.TCPConn
 	raw syscall.RawConn
 	rd  *http1.Reader
 
 	// s.mu guards the fields from here on.
-	phase   phase
-	begun   bool   // a byte of the request under way was read
-	open    string // the core's id of the open request; empty: none
-	txn     string // its X-Txn
-	last    bool   // the answer under way is the connection's last
-	gone    bool   // the client has left, or the connection broke
-	watches bool   // the reader waits in watch and must be woken by an answer ...
-	woken   bool   // ... as it was, by a read deadline that it takes back
-	lingers bool   // counted in s.lingering
-	ahead   []byte // came behind the open request
-	dropped int    // bytes that came when ahead was full
-	held    int64  // counted in s.bodies
+	phase     phase
+	begun     bool   // a byte of the request under way was read
+	open      string // the core's id of the open request; empty: none
+	txn       string // its X-Txn
+	last      bool   // the answer under way is the connection's last
+	gone      bool   // the client has left, or the connection broke
+	watches   bool   // the reader waits in watch and must be woken by an answer ...
+	woken     bool   // ... as it was, by a read deadline that it takes back
+	lingers   bool   // counted in s.lingering
+	readAhead []byte // came behind the open request
+	dropped   int    // bytes that came when ahead was full
+	held      int64  // counted in s.bodies
 
 	// Of the read under way; see Read.
 	buf  []byte
@@ -54,7 +54,7 @@
 	step func(fd uintptr) bool
 }
 
-func newConn(s *Server, id seats.ID, nc *net.TCPConn, raw syscall.RawConn) *conn {
+func newConn(s *Server, id connlimit.ID, nc *net.TCPConn, raw syscall.RawConn) *conn {
 	c := &conn{s: s, id: id, nc: nc, raw: raw}
 	c.step = c.readStep
 	c.rd = http1.NewReader(bufio.NewReaderSize(c, lineMost), http1.Limits{Head: headMost, Body: bodyMost, Room: c.room})
@@ -65,9 +65,9 @@
 // socket, where unread finds them, or the connection is known to ask.
 func (c *conn) Read(b []byte) (int, error) {
 	c.s.mu.Lock()
-	if len(c.ahead) > 0 {
-		n := copy(b, c.ahead)
-		c.ahead = c.ahead[n:]
+	if len(c.readAhead) > 0 {
+		n := copy(b, c.readAhead)
+		c.readAhead = c.readAhead[n:]
 		c.s.mu.Unlock()
 		return n, nil
 	}
@@ -96,8 +96,8 @@
 	switch {
 	case c.n == 0:
 		c.gone = true
-	case c.phase == resting:
-		c.to(asking)
+	case c.phase == idle:
+		c.to(reading)
 		c.begun = true
 	default:
 		c.begun = true
@@ -139,14 +139,14 @@
 	c.phase = p
 	now := c.s.clock()
 	switch p {
-	case asking:
-		c.s.seats.Ask(now, c.id)
-	case busy:
-		c.s.seats.Busy(now, c.id)
-	case resting:
-		c.s.seats.Rest(now, c.id)
-	case ending:
-		c.s.seats.Go(c.id)
+	case reading:
+		c.s.limit.Reading(now, c.id)
+	case active:
+		c.s.limit.Active(now, c.id)
+	case idle:
+		c.s.limit.Idle(now, c.id)
+	case closing:
+		c.s.limit.Closed(c.id)
 	}
 }
 
@@ -166,7 +166,7 @@
 // open request ends with its answer. s.mu is held. True says that it may not linger: the caller is to close it once it
 // holds the lock no more, as Close waits for the reader's step, which may wait for the lock.
 func (c *conn) shut() (close bool) {
-	if c.phase == busy {
+	if c.phase == active {
 		c.last = true
 		return false
 	}
@@ -175,11 +175,11 @@
 
 // halfClose shuts the writing side behind what was written; s.mu is held. True as of shut; the reader closes it too.
 func (c *conn) halfClose() (close bool) {
-	if c.phase == ending {
+	if c.phase == closing {
 		return false
 	}
-	c.to(ending)
-	if c.s.lingering >= c.s.lingerers {
+	c.to(closing)
+	if c.s.lingering >= c.s.lingeringMost {
 		c.abort()
 		return true
 	}
@@ -217,7 +217,7 @@
 func (c *conn) ends() bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	return c.phase == ending
+	return c.phase == closing
 }
 
 // watch returns once the connection may take its next request: while one is open, the reader waits for the client's end.
@@ -227,8 +227,8 @@
 	s := c.s
 	var b []byte
 	s.mu.Lock()
-	for c.phase == busy {
-		if c.rd.Buffered() == 0 && len(c.ahead) == 0 {
+	for c.phase == active {
+		if c.rd.Buffered() == 0 && len(c.readAhead) == 0 {
 			s.mu.Unlock()
 			if c.rd.Wait() != nil {
 				return false
@@ -252,29 +252,29 @@
 			s.mu.Unlock()
 			return false
 		}
-		if c.last || len(c.ahead)+c.n > aheadMost {
-			c.last, c.ahead = true, nil
+		if c.last || len(c.readAhead)+c.n > aheadMost {
+			c.last, c.readAhead = true, nil
 			if c.dropped += c.n; c.dropped > lingerMost {
 				s.mu.Unlock()
 				return false
 			}
 			continue
 		}
-		c.ahead = append(c.ahead, b[:c.n]...)
+		c.readAhead = append(c.readAhead, b[:c.n]...)
 	}
 	if c.woken {
 		c.woken = false
 		until := time.Time{}
-		if c.phase == ending {
+		if c.phase == closing {
 			until = time.Now().Add(lingerFor)
 		}
 		c.nc.SetReadDeadline(until)
 	}
-	if c.phase == resting && (c.rd.Buffered() > 0 || len(c.ahead) > 0) {
-		c.to(asking)
+	if c.phase == idle && (c.rd.Buffered() > 0 || len(c.readAhead) > 0) {
+		c.to(reading)
 		c.begun = true
 	}
-	ends := c.phase == ending
+	ends := c.phase == closing
 	s.mu.Unlock()
 	return !ends
 }
@@ -300,7 +300,7 @@
 	c.nc.Close()
 	s.mu.Lock()
 	delete(s.conns, c.id)
-	s.seats.Go(c.id)
+	s.limit.Closed(c.id)
 	if c.lingers {
 		s.lingering--
 	}
@@ -325,7 +325,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.phase != ending {
+	if c.phase != closing {
 		sock.WriteNow(c.raw, appendAnswer(nil, status, "", e.Why+"\n", true))
 		c.halfClose()
 	}
@@ -345,7 +345,7 @@
 	}
 	if q.Expects && c.rd.Buffered() == 0 {
 		s.mu.Lock()
-		if c.phase != ending {
+		if c.phase != closing {
 			sock.WriteNow(c.raw, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		}
 		s.mu.Unlock()
@@ -380,7 +380,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch _, twice := s.ids[txn]; {
-	case c.phase == ending:
+	case c.phase == closing:
 		return net.ErrClosed
 	case s.stopping:
 		return fault(503, "the gateway stops")
@@ -391,7 +391,7 @@
 	}
 	s.ids[txn] = struct{}{}
 	c.open, c.txn, c.last, c.begun = id, txn, last || c.last, false
-	c.to(busy)
+	c.to(active)
 	return nil
 }
 
@@ -401,7 +401,7 @@
 	ready := s.ready()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.phase == ending {
+	if c.phase == closing {
 		return false
 	}
 	status := 200
@@ -417,7 +417,7 @@
 		return false
 	}
 	c.begun = false
-	c.to(resting)
+	c.to(idle)
 	return true
 }
 
@@ -454,11 +454,11 @@
 	c.held = 0
 	switch {
 	case c.gone: // its reader ends it
-		c.to(ending)
+		c.to(closing)
 	case c.last:
 		c.halfClose()
 	default:
-		c.to(resting)
+		c.to(idle)
 	}
 	if c.watches {
 		c.woken = true
--- a/front/http/server.go
+++ b/front/http/server.go
@@ -1,6 +1,6 @@
 // Package http is the gateway's front in HTTP/1.1: one goroutine a connection reads requests and makes calls of
 // them; the loop itself writes an answer, without waiting, the moment it is final. It knows no quotas. Which
-// connections stay when descriptors are few is decided by package seats.
+// connections stay when descriptors are few is decided by package connlimit.
 //
 // A connection ends by a half-close and a lingering close (RFC 9112, section 9.6): its writing side is shut, from then on
 // nothing that comes is a request, what comes is read and dropped within bounds, then it is closed. To close with bytes
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"winghatch/connlimit"
 	"winghatch/front"
-	"winghatch/seats"
 )
 
 const (
@@ -53,27 +53,27 @@
 
 	// One lock guards what the server and its connections hold: a read, the choice of a connection to close and the
 	// write of an answer are then never in the midst of each other. No system call under it waits.
-	mu        sync.Mutex
-	seats     *seats.Book
-	conns     map[seats.ID]*conn
-	ids       map[string]struct{} // X-Txn of open requests
-	next      seats.ID
-	lingering int // connections that are shut and not closed yet
-	lingerers int // as many at most
-	bodies    int64
-	bodyRoom  int64
-	draining  bool // answers say that their connection ends
-	stopping  bool // no request is taken any more
-	closed    bool
-	wg        sync.WaitGroup
-	quit      chan struct{}
+	mu            sync.Mutex
+	limit         *connlimit.Limiter
+	conns         map[connlimit.ID]*conn
+	ids           map[string]struct{} // X-Txn of open requests
+	next          connlimit.ID
+	lingering     int // connections that are shut and not closed yet
+	lingeringMost int // as many at most
+	bodies        int64
+	bodyRoom      int64
+	draining      bool // answers say that their connection ends
+	stopping      bool // no request is taken any more
+	closed        bool
+	wg            sync.WaitGroup
+	quit          chan struct{}
 }
 
 // New returns a front. ready tells whether the gateway can serve.
 func New(rules *Rules, core front.Core, o Options, clock func() time.Duration, ready func() bool, log *slog.Logger) *Server {
-	lingerers := max(1, o.Conns/lingerPart)
-	return &Server{rules: rules, core: core, clock: clock, log: log, ready: ready, seats: seats.New(max(1, o.Conns-lingerers)),
-		conns: map[seats.ID]*conn{}, ids: map[string]struct{}{}, lingerers: lingerers, bodyRoom: o.Bodies, quit: make(chan struct{})}
+	lingeringMost := max(1, o.Conns/lingerPart)
+	return &Server{rules: rules, core: core, clock: clock, log: log, ready: ready, limit: connlimit.New(max(1, o.Conns-lingeringMost)),
+		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, lingeringMost: lingeringMost, bodyRoom: o.Bodies, quit: make(chan struct{})}
 }
 
 // Serve accepts until Close.
@@ -102,7 +102,7 @@
 	s.mu.Lock()
 	s.next++
 	id := s.next
-	out, closes, ok := s.seats.Come(s.clock(), id)
+	out, closes, ok := s.limit.Accept(s.clock(), id)
 	var old *conn
 	if closes {
 		s.Evicted.Add(1)
@@ -111,7 +111,7 @@
 		}
 	}
 	if !ok || s.closed {
-		s.seats.Go(id)
+		s.limit.Closed(id)
 		s.mu.Unlock()
 		s.Full.Add(1)
 		nc.Close()
@@ -139,19 +139,19 @@
 			return
 		case <-t.C:
 		}
-		s.shutDue(s.clock())
+		s.closeExpired(s.clock())
 	}
 }
 
-// shutDue shuts the connections whose time is up.
-func (s *Server) shutDue(now time.Duration) {
+// closeExpired shuts the connections whose time is up.
+func (s *Server) closeExpired(now time.Duration) {
 	var over []*conn
 	s.mu.Lock()
-	for _, id := range s.seats.Due(now) {
+	for _, id := range s.limit.Expired(now) {
 		c := s.conns[id]
-		if c.phase == resting && c.unread() {
+		if c.phase == idle && c.unread() {
 			// Its next request has come in this moment: it keeps the seat that was just taken back.
-			s.seats.Come(now, id)
+			s.limit.Accept(now, id)
 			continue
 		}
 		s.Closed.Add(1)
@@ -172,14 +172,14 @@
 	s.mu.Unlock()
 }
 
-// StopTaking ends what rests and takes no further request: one whose bytes had begun to come is refused, so that it has an
+// StopAccepting ends what rests and takes no further request: one whose bytes had begun to come is refused, so that it has an
 // answer before the process ends, and one that comes later finds its connection shut.
-func (s *Server) StopTaking() {
+func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping = true
 	for _, c := range s.conns {
-		if c.phase == resting && !c.unread() || c.phase == asking && !c.begun && !c.unread() {
+		if c.phase == idle && !c.unread() || c.phase == reading && !c.begun && !c.unread() {
 			c.shut()
 		}
 	}
--- a/nodelist/registry/owed_test.go
+++ b/nodelist/registry/owed_test.go
@@ -197,7 +197,7 @@
 
 // What the protocol counts as told 6 s after a watch fell silent is known by then, though a first new connection fails.
 func TestAChangeIsKnownInTime(t *testing.T) {
-	if known := (Options{}).Known(); known > 6*time.Second {
+	if known := (Options{}).MaxStaleness(); known > 6*time.Second {
 		t.Errorf("a change behind a silent watch is known after %v, want 6 s", known)
 	}
 }
--- a/nodelist/registry/registry.go
+++ b/nodelist/registry/registry.go
@@ -115,15 +115,15 @@
 	Log  *slog.Logger
 
 	// Hold is how long a watch waits for news; Silent how much longer an answer may take before the connection counts as
-	// dead; Again the pause after a failure. Zeroes stand for 2 s, 500 ms and 100 ms. See Known.
+	// dead; Again the pause after a failure. Zeroes stand for 2 s, 500 ms and 100 ms. See MaxStaleness.
 	Hold, Silent, Again time.Duration
 }
 
-// Known is the longest that a change stays unknown here after the watch fell silent, where the first connection behind it
+// MaxStaleness is the longest that a change stays unknown here after the watch fell silent, where the first connection behind it
 // fails too and the second does not. A change counts as told 6 s after the silence at the latest, or 2 s after the wait is
 // over if that is later: Hold trades that time against a call for each wait that brings no news.
-func (o Options) Known() time.Duration {
-	o = o.whole()
+func (o Options) MaxStaleness() time.Duration {
+	o = o.withDefaults()
 	again := o.Again + connectFor + wholeFor
 	return o.Hold + o.Silent + 2*again
 }
@@ -138,11 +138,11 @@
 
 // New returns a watch of an address.
 func New(addr string, o Options) *Watch {
-	return &Watch{o: o.whole(), addr: addr}
+	return &Watch{o: o.withDefaults(), addr: addr}
 }
 
-// whole puts the usual times in the place of zeroes.
-func (o Options) whole() Options {
+// withDefaults puts the usual times in the place of zeroes.
+func (o Options) withDefaults() Options {
 	if o.Hold == 0 {
 		o.Hold = 2 * time.Second
 	}
@@ -199,7 +199,7 @@
 
 // follow takes the whole list and watches until something fails.
 func (w *Watch) follow(ctx context.Context, addr string) error {
-	c := &call{ctx: ctx, addr: addr}
+	c := &agentConn{ctx: ctx, addr: addr}
 	defer c.close()
 	l, err := c.get("/registry/instances", wholeFor)
 	if err != nil {
@@ -227,9 +227,9 @@
 	}
 }
 
-// call is the connection to an address. One that ends with an answer is opened anew for the next, at once, so that the
+// agentConn is the connection to an address. One that ends with an answer is opened anew for the next, at once, so that the
 // watch goes on where it was.
-type call struct {
+type agentConn struct {
 	ctx  context.Context
 	addr string
 	nc   net.Conn
@@ -237,7 +237,7 @@
 	stop func() bool
 }
 
-func (c *call) open() error {
+func (c *agentConn) open() error {
 	d := net.Dialer{Timeout: connectFor, KeepAlive: -1}
 	nc, err := d.DialContext(c.ctx, "tcp", c.addr)
 	if err != nil {
@@ -249,7 +249,7 @@
 	return nil
 }
 
-func (c *call) close() {
+func (c *agentConn) close() {
 	if c.nc != nil {
 		c.stop()
 		c.nc.Close()
@@ -258,7 +258,7 @@
 }
 
 // get asks once.
-func (c *call) get(path string, within time.Duration) (*List, error) {
+func (c *agentConn) get(path string, within time.Duration) (*List, error) {
 	if c.nc == nil {
 		if err := c.open(); err != nil {
 			return nil, err
