Second reading: the bound on answers' bodies is exact; one agent for the registry's tests

Change: room adds, then looks, and takes back; the test waits until the reader watches and nothing is unread; agent plays scripts by play, and one run follows an address. No bound or assertion is loosened.

--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -105,17 +105,18 @@
 			text += usual("POST /api", "X-Txn: t2") + "abc"
 		}
 		c := dial(t, addr)
-		go c.send(text) // the front may end it half-way
+		sent := make(chan struct{})
+		go func() { c.send(text); close(sent) }() // the front may end it half-way
 		call := <-core.came
 		if behind < 1000 {
-			until(t, "all has come", func() bool {
+			<-sent
+			until(t, "all was read ahead", func() bool {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				n := 0
 				for _, c := range s.conns {
-					n = len(c.readAhead) + c.dropped + c.rd.Buffered()
+					return c.watches && !c.unread()
 				}
-				return n >= len(text)-len(usual("POST /api"))-3
+				return false
 			})
 			c.nc.Close()
 		}
--- a/nodelist/registry/owed_test.go
+++ b/nodelist/registry/owed_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -62,38 +60,11 @@
 // followScript follows an agent whose answers fail as the script's words say.
 func followScript(t *testing.T, script []string) *follower {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
 	f := &follower{took: make(chan *List, 100), asked: make(chan string, 100)}
-	steps := make(chan string, len(script))
-	for _, s := range script {
-		steps <- s
-	}
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go play(t, nc, steps, f.asked)
-		}
-	}()
-	run(t, f, ln.Addr().String())
+	f.run(t, agent(t, f.asked, script...), Options{Hold: 50 * time.Millisecond, Silent: 50 * time.Millisecond})
 	return f
 }
 
-func run(t *testing.T, f *follower, addr string) {
-	f.w = New(addr, Options{Take: func(l *List) { f.took <- l }, Log: slog.New(slog.DiscardHandler), Hold: 50 * time.Millisecond,
-		Silent: 50 * time.Millisecond, Again: time.Millisecond})
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { f.w.Run(ctx); close(done) }()
-	t.Cleanup(func() { stop(); <-done })
-}
-
 // play answers the calls of a connection by the next steps; behind the last it holds still.
 func play(t *testing.T, nc net.Conn, steps <-chan string, asked chan<- string) {
 	defer nc.Close()
@@ -174,7 +145,7 @@
 		}
 	}
 	go serve(ln, list(41, true, entry("a", "ready")))
-	run(t, f, addr)
+	f.run(t, addr, Options{Hold: 50 * time.Millisecond, Silent: 50 * time.Millisecond})
 	for l := next(t, f.took); l.Rev != 41; l = next(t, f.took) {
 	}
 	ln.Close()
--- a/nodelist/registry/registry_test.go
+++ b/nodelist/registry/registry_test.go
@@ -1,12 +1,10 @@
 package registry
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -32,26 +30,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer nc.Close()
-				r := bufio.NewReader(nc)
-				for {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					asked <- q.URL.String()
-					select {
-					case s := <-next:
-						if s == "hang up" {
-							return
-						}
-						fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(s), s)
-					case <-t.Context().Done():
-						return
-					}
-				}
-			}()
+			go play(t, nc, next, asked)
 		}
 	}()
 	return ln.Addr().String()
@@ -74,14 +53,18 @@
 func follow(t *testing.T, o Options, script ...string) *follower {
 	t.Helper()
 	f := &follower{took: make(chan *List, 100), asked: make(chan string, 10000)}
-	o.Take, o.Log = func(l *List) { f.took <- l }, slog.New(slog.DiscardHandler)
-	o.Again = time.Millisecond
-	f.w = New(agent(t, f.asked, script...), o)
+	f.run(t, agent(t, f.asked, script...), o)
+	return f
+}
+
+// run follows an address until the test ends.
+func (f *follower) run(t *testing.T, addr string, o Options) {
+	o.Take, o.Log, o.Again = func(l *List) { f.took <- l }, slog.New(slog.DiscardHandler), time.Millisecond
+	f.w = New(addr, o)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.w.Run(ctx); close(done) }()
 	t.Cleanup(func() { stop(); <-done })
-	return f
 }
 
 func next[T any](t *testing.T, ch <-chan T) (v T) {
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -385,11 +385,11 @@
 
 // room counts bytes of an answer in: servers whose answers never end must not take the process beyond its memory.
 func (k *conn) room(n int) bool {
-	if k.p.o.Bodies > 0 && k.p.bodies.Load()+int64(n) > k.p.o.Bodies {
+	if all := k.p.bodies.Add(int64(n)); k.p.o.Bodies > 0 && all > k.p.o.Bodies {
+		k.p.bodies.Add(-int64(n))
 		return false
 	}
 	k.held += int64(n)
-	k.p.bodies.Add(int64(n))
 	return true
 }
 
