--- /dev/null
+++ b/deploy/sites/lay.go
@@ -0,0 +1,184 @@
+// Command sites lays variants of the customers' site files beside this file: other names, effects, shares, limits,
+// deadlines and costs, so that nothing in the program can lean on those of one deployment. The originals are not part of
+// the repository; what it lays is not either.
+//
+//	go run ./deploy/sites ../given
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// change puts a value in the place of another. At names the table, and of several the one with that name or number:
+// "net", "class order-lookup", "fam.plan 0", or "" for the top.
+type change struct{ at, key, value string }
+
+// variant is a site made from another.
+type variant struct {
+	name    string
+	from    string   // site file, below the folder of the papers
+	beside  []string // files that lie beside a site, below the same
+	changes []change
+	more    []change // entries that the original may lack: they are put behind the table's first line
+}
+
+var variants = []variant{
+	{"ronda-encargos", "kit/more/node/sites/talca-bodega.toml",
+		[]string{"kit/more/node/sites/real.json", "kit/more/node/sites/wire.json", "kit/more/node/sites/unlock.txt"},
+		[]change{
+			{"", "name", `"ronda-encargos"`},
+			{"net", "zones", `["ribera", "meseta"]`},
+			{"allow", "max_attempts", "3"}, {"allow", "retry_after", "false"}, {"allow", "second_copies", "true"},
+			{"rules", "drain_grace_ms", "700"}, {"rules", "fall_multiple", "3"}, {"rules", "fall_ms", "1500"},
+			{"prices", "waste", "0.02"}, {"prices", "late_fail", "0.06"}, {"prices", "peer", "0.02"},
+			{"tier.conn", "connect_timeout_ms", "400"}, {"tier.conn", "idle_s", "12"},
+			{"tier.report", "fields", `["inflight", "util"]`},
+			// A known name with another effect, and other names.
+			{"class order-lookup", "effect", `"unsafe"`}, {"class order-lookup", "share", "[0.2, 0.3]"},
+			{"class order-lookup", "deadline_ms", "2500"}, {"class order-lookup", "worth", "2"},
+			{"class order-submit", "effect", `"safe"`}, {"class order-submit", "share", "[0.4, 0.5]"},
+			{"class order-submit", "aim_ms", "800"}, {"class order-submit", "late_worth", "0.3"},
+			{"class folio-assign", "effect", `"keyed"`}, {"class folio-assign", "deadline_ms", "2000"},
+			{"class folio-assign", "worth", "3"}, {"class folio-assign", "name", `"sello"`},
+			{"fam", "units", `"size"`}, {"fam", "most_units", "5"}, {"fam", "peer_in_per_s", "60"},
+			{"tenant semilla", "share", "0.5"}, {"tenant taller", "share", "0.3"}, {"tenant imprenta", "share", "0.2"},
+			{"tenant semilla", "name", `"huerto"`},
+			{"fam.plan 0", "over_worth", "0"}, {"fam.plan 0", "over_cost", "0.4"}, {"fam.plan 1", "over_cost", "0"},
+			{"fam.plan 1", "over_worth", "0.2"}, {"fam.plan 2", "price", "1.1"},
+		},
+		[]change{{"class sello", "group", `"cell"`}, {"class sello", "window_ms", "900"}}},
+	{"lagerhaus-nord", "kit/more/mass/other/aarfeld-ausleihe.toml",
+		[]string{"kit/more/mass/other/real.json", "kit/more/mass/other/wire.json", "kit/more/mass/other/unlock.txt"},
+		[]change{
+			{"", "name", `"lagerhaus-nord"`},
+			{"allow", "max_attempts", "4"}, {"allow", "second_copies", "false"}, {"allow", "cancel", "false"},
+			{"rules", "drain_grace_ms", "1200"}, {"rules", "fall_multiple", "3"}, {"rules", "fall_ms", "2000"},
+			{"prices", "cross_zone", "0.05"}, {"prices", "late_fail", "0.02"},
+			{"tier.conn", "connect_timeout_ms", "300"}, {"tier.conn", "idle_s", "20"},
+			{"class katalog", "effect", `"unsafe"`}, {"class katalog", "share", "[0.3, 0.4]"},
+			{"class katalog", "aim_ms", "700"}, {"class katalog", "deadline_ms", "2200"}, {"class katalog", "name", `"abruf"`},
+			{"class ausleihe", "share", "[0.6, 0.7]"}, {"class ausleihe", "group", `"zone"`}, {"class ausleihe", "window_ms", "1100"},
+			{"class ausleihe", "deadline_ms", "1800"}, {"class ausleihe", "worth", "1"}, {"class ausleihe", "late_worth", "0"},
+			{"tenant gemeinde-klein", "share", "0.6"}, {"tenant gemeinde-mittel", "share", "0.1"}, {"tenant kanton-gross", "share", "0.3"},
+			{"tenant kanton-gross", "name", `"bund"`},
+			{"fam", "most_units", "6"}, {"fam.plan 0", "over_cost", "0.5"}, {"fam.plan 1", "over_cost", "0.3"},
+			{"fam.plan 1", "open", "[4, 6]"}, {"fam.plan 2", "over_worth", "0.1"},
+		}, nil},
+}
+
+// site is a site file as lines with the table that each stands in.
+type site struct {
+	lines []string
+	at    []string // table and number among those of its name
+}
+
+func parse(text string) *site {
+	s := &site{lines: strings.Split(text, "\n")}
+	table, count := "", map[string]int{}
+	for _, l := range s.lines {
+		if head := strings.Trim(strings.TrimSpace(l), "[]"); strings.HasPrefix(l, "[") {
+			table = head
+			if strings.HasPrefix(l, "[[") {
+				table = fmt.Sprint(head, " ", count[head])
+				count[head]++
+			}
+		}
+		s.at = append(s.at, table)
+	}
+	return s
+}
+
+// table finds a table by its place: one of several by its name or number.
+func (s *site) table(at string) (string, bool) {
+	if slices.Contains(s.at, at) {
+		return at, true
+	}
+	head, name, _ := strings.Cut(at, " ")
+	for i, l := range s.lines {
+		if strings.HasPrefix(s.at[i], head+" ") && strings.ReplaceAll(l, " ", "") == `name="`+name+`"` {
+			return s.at[i], true
+		}
+	}
+	return "", false
+}
+
+func (s *site) set(c change) error {
+	table, ok := s.table(c.at)
+	if !ok {
+		return fmt.Errorf("there is no table %q", c.at)
+	}
+	for i, l := range s.lines {
+		if key, _, ok := strings.Cut(l, "="); ok && s.at[i] == table && strings.TrimSpace(key) == c.key {
+			s.lines[i] = c.key + " = " + c.value
+			return nil
+		}
+	}
+	return fmt.Errorf("table %q has no entry %q", c.at, c.key)
+}
+
+// put sets an entry, or adds it.
+func (s *site) put(c change) error {
+	table, ok := s.table(c.at)
+	if !ok {
+		return fmt.Errorf("there is no table %q", c.at)
+	}
+	if s.set(c) != nil {
+		i := slices.Index(s.at, table) + 1
+		s.lines = slices.Insert(s.lines, i, c.key+" = "+c.value)
+		s.at = slices.Insert(s.at, i, table)
+	}
+	return nil
+}
+
+// lay writes a variant into a folder of its own.
+func (v *variant) lay(given, to string) error {
+	text, err := os.ReadFile(filepath.Join(given, v.from))
+	if err != nil {
+		return err
+	}
+	s := parse(string(text))
+	for _, c := range v.changes {
+		if err := s.set(c); err != nil {
+			return fmt.Errorf("%s: %w", v.from, err)
+		}
+	}
+	for _, c := range v.more {
+		if err := s.put(c); err != nil {
+			return fmt.Errorf("%s: %w", v.from, err)
+		}
+	}
+	dir := filepath.Join(to, v.name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	files := map[string][]byte{v.name + ".toml": []byte(strings.Join(s.lines, "\n"))}
+	for _, f := range v.beside {
+		if files[filepath.Base(f)], err = os.ReadFile(filepath.Join(given, f)); err != nil {
+			return err
+		}
+	}
+	for name, b := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), b, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: go run ./deploy/sites FOLDER, where FOLDER holds kit/")
+		os.Exit(2)
+	}
+	for _, v := range variants {
+		if err := v.lay(os.Args[1], filepath.Join("deploy", "sites")); err != nil {
+			fmt.Fprintf(os.Stderr, "sites: %s: %v\n", v.name, err)
+			os.Exit(1)
+		}
+		fmt.Println(filepath.Join("deploy", "sites", v.name, v.name+".toml"))
+	}
+}
