Requests that wait in the socket outlast timeouts, eviction, and calls that fail for a moment

Cause: the request timeout and eviction looked at the socket of idle connections only (closeExpired, come), and ended those being read with no answer; an ENOBUFS or ENOMEM of read, write or peek ended a connection or counted as the client's leaving (done, readStep, peek); a close behind unread bytes was not seen (left); a request read ahead had its time begin anew once it was parsed (request).

Change: connlimit asks for unread bytes before it takes any seat, and takes silent connections first, then idle ones, then those being read; where a byte of a request has come the end is told, 408 or 503. Errors that pass are tried again (package sock). The longest lingering connection gives way, not the newest answer. A request's time runs from when its bytes were read. front/http split by concern.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -1,8 +1,10 @@
 // Package connlimit decides which connections of clients stay when descriptors are few: it does no I/O and reads no
 // clock; the same calls in the same order always close the same connections.
 //
-// A connection holds a seat from its coming to its going. It is reading until its first request is whole, active while
-// one is open, and at rest between two. What has shown no use so far goes first, longest first; what is active never.
+// A connection holds a seat from its coming to its going. It is silent until its first byte, reading until a request is
+// whole, active while one is open, and idle between two. For a new connection the silent ones give way first, then the idle
+// ones, then those that are being read, each longest first; active ones never. A connection whose socket holds bytes that
+// nobody has read yet is spared: they may be a whole request.
 package connlimit
 
 import (
@@ -15,6 +17,9 @@
 	// a request at once; what trickles or is silent holds a seat that others need. It also keeps the promise that
 	// such a client is turned away within three seconds.
 	requestTimeout = 2 * time.Second
+	// One with unread bytes is spared for so much longer at most: the process may have been held up, but a client that
+	// sends without end must go too.
+	requestGrace = 400 * time.Millisecond
 	// One at rest may be closed after two seconds; while there is room it stays for this long, as opening it anew costs
 	// both sides more than keeping it.
 	idleTimeout = 10 * time.Second
@@ -28,9 +33,11 @@
 
 type state int
 
+// In the order in which connections give way.
 const (
-	reading state = iota
+	silent state = iota
 	idle
+	reading
 	active
 )
 
@@ -45,84 +52,123 @@
 type Limiter struct {
 	most  int
 	seats map[ID]*seat
-	lines [2]*list.List // reading, idle: longest first
+	lines [active]*list.List // silent, idle, reading: longest first
 }
 
 // New returns a limiter of so many connections.
 func New(most int) *Limiter {
-	return &Limiter{most: most, seats: map[ID]*seat{}, lines: [2]*list.List{list.New(), list.New()}}
+	l := &Limiter{most: most, seats: map[ID]*seat{}}
+	for st := range l.lines {
+		l.lines[st] = list.New()
+	}
+	return l
 }
 
 // Len is how many seats are held.
-func (b *Limiter) Len() int { return len(b.seats) }
-
-// Accept gives a new connection a seat. If all are held, another is to be closed for it; false says that none may,
-// and the new one is to be closed.
-func (b *Limiter) Accept(now time.Duration, id ID) (out ID, closes, ok bool) {
-	if len(b.seats) >= b.most {
-		for _, l := range b.lines {
-			if f := l.Front(); f != nil {
-				out, closes = f.Value.(*seat).id, true
-				b.Closed(out)
-				break
-			}
-		}
-		if !closes {
+func (l *Limiter) Len() int { return len(l.seats) }
+
+// Accept gives a new connection a seat. If all are held, another is to be closed for it; false says that none may, and the
+// new one is to be closed. unread tells whether a connection's socket holds bytes that nobody has read.
+func (l *Limiter) Accept(now time.Duration, id ID, unread func(ID) bool) (evicted ID, evicts, ok bool) {
+	if len(l.seats) >= l.most {
+		if evicted, evicts = l.weakest(unread); !evicts {
 			return 0, false, false
 		}
+		l.Closed(evicted)
 	}
 	s := &seat{id: id, since: now}
-	b.seats[id] = s
-	s.at = b.lines[reading].PushBack(s)
-	return out, closes, true
+	l.seats[id] = s
+	l.enter(s)
+	return evicted, evicts, true
+}
+
+// weakest finds the connection that gives way first.
+func (l *Limiter) weakest(unread func(ID) bool) (id ID, ok bool) {
+	for _, line := range l.lines {
+		for e := line.Front(); e != nil; e = e.Next() {
+			if id := e.Value.(*seat).id; !unread(id) {
+				return id, true
+			}
+		}
+	}
+	return 0, false
 }
 
 // Closed takes a seat back.
-func (b *Limiter) Closed(id ID) {
-	if s := b.seats[id]; s != nil {
-		b.leave(s)
-		delete(b.seats, id)
+func (l *Limiter) Closed(id ID) {
+	if s := l.seats[id]; s != nil {
+		l.leave(s)
+		delete(l.seats, id)
 	}
 }
 
-func (b *Limiter) leave(s *seat) {
+func (l *Limiter) leave(s *seat) {
 	if s.at != nil {
-		b.lines[s.state].Remove(s.at)
+		l.lines[s.state].Remove(s.at)
 		s.at = nil
 	}
 }
 
-func (b *Limiter) to(now time.Duration, id ID, st state) {
-	s := b.seats[id]
+// enter puts a seat into the line of its state, which is in the order of since.
+func (l *Limiter) enter(s *seat) {
+	line := l.lines[s.state]
+	before := line.Back()
+	for before != nil && before.Value.(*seat).since > s.since {
+		before = before.Prev()
+	}
+	if before == nil {
+		s.at = line.PushFront(s)
+		return
+	}
+	s.at = line.InsertAfter(s, before)
+}
+
+func (l *Limiter) to(id ID, st state, since time.Duration) {
+	s := l.seats[id]
 	if s == nil || s.state == st {
 		return
 	}
-	b.leave(s)
-	s.state, s.since = st, now
+	l.leave(s)
+	s.state, s.since = st, since
 	if st != active {
-		s.at = b.lines[st].PushBack(s)
+		l.enter(s)
 	}
 }
 
-// Reading says that the first byte of a further request came.
-func (b *Limiter) Reading(now time.Duration, id ID) { b.to(now, id, reading) }
+// Reading says that the first byte of a request came. A first request's time runs from the connection's coming.
+func (l *Limiter) Reading(now time.Duration, id ID) {
+	if s := l.seats[id]; s != nil && s.state == silent {
+		now = s.since
+	}
+	l.to(id, reading, now)
+}
 
 // Active says that a request is whole.
-func (b *Limiter) Active(now time.Duration, id ID) { b.to(now, id, active) }
+func (l *Limiter) Active(now time.Duration, id ID) { l.to(id, active, now) }
 
 // Idle says that its answer is written.
-func (b *Limiter) Idle(now time.Duration, id ID) { b.to(now, id, idle) }
+func (l *Limiter) Idle(now time.Duration, id ID) { l.to(id, idle, now) }
 
-// Expired takes back the seats whose time is up and returns them.
-func (b *Limiter) Expired(now time.Duration) (out []ID) {
+// Expired takes back the seats whose time is up and returns them. unread is as in Accept.
+func (l *Limiter) Expired(now time.Duration, unread func(ID) bool) (out []ID) {
 	rest := idleTimeout
-	if float64(len(b.seats)) > tightFrom*float64(b.most) {
+	if float64(len(l.seats)) > tightFrom*float64(l.most) {
 		rest = tightIdleTimeout
 	}
-	for st, most := range [2]time.Duration{requestTimeout, rest} {
-		for f := b.lines[st].Front(); f != nil && now-f.Value.(*seat).since >= most; f = b.lines[st].Front() {
-			out = append(out, f.Value.(*seat).id)
-			b.Closed(f.Value.(*seat).id)
+	for st, timeout := range [active]time.Duration{silent: requestTimeout, idle: rest, reading: requestTimeout} {
+		var next *list.Element
+		for e := l.lines[st].Front(); e != nil; e = next {
+			next = e.Next()
+			s := e.Value.(*seat)
+			over := now - s.since - timeout
+			if over < 0 {
+				break
+			}
+			if unread(s.id) && (state(st) == idle || over < requestGrace) {
+				continue
+			}
+			out = append(out, s.id)
+			l.Closed(s.id)
 		}
 	}
 	return out
--- /dev/null
+++ b/front/http/answer.go
@@ -0,0 +1,119 @@
+package http
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"winghatch/front"
+	"winghatch/http1"
+)
+
+// reject says why a request can't be used and ends the connection.
+func (c *conn) reject(err error) {
+	var e *http1.Error
+	if !errors.As(err, &e) {
+		return // the connection broke
+	}
+	s := c.s
+	s.Bad.Add(1)
+	s.log.Debug("turned away", "status", e.Status, "why", e.Why)
+	status := e.Status
+	if status < 400 {
+		status = 400
+	}
+	s.mu.Lock()
+	defer s.release()
+	if c.phase != closing {
+		c.to(closing)
+		c.write(appendAnswer(nil, status, "", e.Why+"\n", true), c.halfClose)
+	}
+}
+
+// health answers the platform's question whether the gateway can serve.
+func (c *conn) health(last bool) bool {
+	s := c.s
+	ready := s.ready()
+	s.mu.Lock()
+	defer s.release()
+	if c.phase == closing {
+		return false
+	}
+	status := 200
+	if s.draining || !ready {
+		status = 503
+	}
+	last = last || s.stopping
+	c.last, c.begun = last, false
+	c.to(active) // until it is written
+	c.write(appendAnswer(nil, status, "", "", last), c.free)
+	return true
+}
+
+// done writes the one answer; the loop calls it, so it must not wait for the client. The connection's own goroutine
+// takes up what the client sent meanwhile only once the answer is written whole.
+func (c *conn) done(id string, f front.Final) {
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.open != id { // its client has gone, and its X-Txn may be another's by now
+		return
+	}
+	delete(s.ids, c.txn)
+	c.open, c.txn = "", ""
+	c.last = c.last || s.draining
+	c.write(finalBytes(f, c.last), c.free)
+}
+
+// free ends the request whose answer is written; s.mu is held.
+func (c *conn) free() {
+	s := c.s
+	s.bodies -= c.held
+	c.held = 0
+	switch {
+	case c.gone: // its reader ends it
+		c.to(closing)
+	case c.last:
+		c.halfClose()
+	default:
+		c.to(idle)
+	}
+	if c.watches {
+		c.woken = true
+		c.nc.SetReadDeadline(time.Now())
+	}
+}
+
+// finalBytes is a final answer in HTTP: 429 and 503 are refusals and promise that trying again is harmless; a failed
+// one is 502. A 429 may say when to come back.
+func finalBytes(f front.Final, last bool) []byte {
+	switch f.Kind {
+	case front.Served:
+		return appendAnswer(make([]byte, 0, 96+len(f.Body)), 200, "", string(f.Body), last)
+	case front.Refused:
+		after := ""
+		if f.RetryAfter > 0 {
+			after = strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)
+		}
+		return appendAnswer(nil, 429, after, "", last)
+	}
+	return appendAnswer(nil, 502, "", "", last)
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 414: "URI Too Long", 417: "Expectation Failed",
+	429: "Too Many Requests", 431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+
+func appendAnswer(b []byte, status int, after, body string, last bool) []byte {
+	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
+	b = append(append(b, ' '), reasons[status]...)
+	if after != "" {
+		b = append(append(b, "\r\nRetry-After: "...), after...)
+	}
+	if last {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(body)), 10)
+	return append(append(b, "\r\n\r\n"...), body...)
+}
--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -155,6 +155,53 @@
 	}
 }
 
+// A close is seen behind bytes that nobody has read yet: the process may have been held up since they came.
+func TestLeftLooksBehindUnreadBytes(t *testing.T) {
+	_, s, _ := start(t, 10)
+	for _, leave := range []func(nc *net.TCPConn){
+		func(nc *net.TCPConn) { nc.Close() },
+		func(nc *net.TCPConn) { nc.CloseWrite() },
+		func(nc *net.TCPConn) { nc.SetLinger(0); nc.Close() },
+	} {
+		c, nc := still(t, s)
+		s.mu.Lock()
+		c.open = "x"
+		c.to(active)
+		s.mu.Unlock()
+		io.WriteString(nc, "GET /next")
+		until(t, "bytes wait", func() bool { return c.unread() })
+		if c.left("x") {
+			t.Fatal("it has gone before it left")
+		}
+		leave(nc.(*net.TCPConn))
+		until(t, "the client has gone", func() bool { return c.left("x") })
+	}
+}
+
+// A request's time runs from its last byte, also while it waits for the answer to the one before it.
+func TestARequestBehindAnotherHasRunItsTime(t *testing.T) {
+	const waits = 300 * time.Millisecond
+	core, s, addr := start(t, 10)
+	c := dial(t, addr).send(usual("POST /api") + "abc")
+	first := <-core.came
+	c.send(usual("POST /api", "X-Txn: t2") + "abc")
+	until(t, "the second was read ahead", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			return c.begun && !c.unread()
+		}
+		return false
+	})
+	read := s.clock()
+	time.Sleep(waits)
+	c.send(usual("POST /api", "X-Txn: t3")[:20])
+	first.Done(front.Final{Kind: front.Served})
+	if left := (<-core.came).Deadline - read; left > 480*time.Millisecond {
+		t.Errorf("the second's time ends %v after it was read, want the 480 ms that it came with", left)
+	}
+}
+
 // still is a connection whose reader does not run, so that what has come stays unread.
 func still(t *testing.T, s *Server) (*conn, net.Conn) {
 	t.Helper()
@@ -182,7 +229,7 @@
 	s.next++
 	c := newConn(s, s.next, in.(*net.TCPConn), raw)
 	s.conns[c.id] = c
-	s.limit.Accept(s.clock(), c.id)
+	s.limit.Accept(s.clock(), c.id, s.unread)
 	c.to(idle)
 	return c, nc
 }
@@ -215,7 +262,7 @@
 		c, nc = still(t, s)
 		end.do(s, s.clock()+2*time.Hour)
 		if c.phase != closing {
-			t.Fatalf("%s: a idle connection was not shut", end.name)
+			t.Fatalf("%s: an idle connection was not shut", end.name)
 		}
 		io.WriteString(nc, usual("POST /api", "X-Txn: t2")+"abc")
 		until(t, "the request has come", func() bool { return c.unread() })
@@ -242,20 +289,20 @@
 	until(t, "all are held", func() bool { return s.Conns.Load() == 30 })
 	s.mu.Lock()
 	for _, c := range s.conns {
-		c.shut()
+		c.turnAway(503, "")
 	}
-	if s.lingering != s.lingeringMost {
-		t.Errorf("%d linger, want %d", s.lingering, s.lingeringMost)
+	if s.lingering.Len() != s.lingeringMost {
+		t.Errorf("%d linger, want %d", s.lingering.Len(), s.lingeringMost)
 	}
-	s.mu.Unlock()
+	s.release()
 	for _, c := range all {
 		if status, _, _ := c.read(); status != 0 {
 			t.Errorf("%d, want the end of the connection", status)
 		}
 	}
 	until(t, "all are closed", func() bool { return s.Conns.Load() == 0 })
-	if s.lingering != 0 || s.limit.Len() != 0 {
-		t.Errorf("%d linger and %d seats are held, want none", s.lingering, s.limit.Len())
+	if s.lingering.Len() != 0 || s.limit.Len() != 0 {
+		t.Errorf("%d linger and %d seats are held, want none", s.lingering.Len(), s.limit.Len())
 	}
 }
 
--- a/front/http/conn.go
+++ b/front/http/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	"container/list"
 	"errors"
 	"io"
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -42,16 +45,29 @@
 	gone      bool   // the client has left, or the connection broke
 	watches   bool   // the reader waits in watch and must be woken by an answer ...
 	woken     bool   // ... as it was, by a read deadline that it takes back
-	lingers   bool   // counted in s.lingering
-	readAhead []byte // came behind the open request
-	dropped   int    // bytes that came when ahead was full
-	held      int64  // counted in s.bodies
+	ended     bool   // its writing side is shut
+	lingers   *list.Element
+	readAhead []chunk // came behind the open request
+	ahead     int     // bytes in readAhead
+	dropped   int     // bytes that came when readAhead was full
+	held      int64   // counted in s.bodies
+
+	writes sync.WaitGroup // answers that wait for room in the socket's buffer
+
+	// The reader's own: when the bytes came that a request was last taken from, when the socket was last read, and the read
+	// under way; see Read.
+	arrived time.Duration
+	readAt  time.Duration
+	buf     []byte
+	n       int
+	err     error
+	step    func(fd uintptr) bool
+}
 
-	// Of the read under way; see Read.
-	buf  []byte
-	n    int
-	err  error
-	step func(fd uintptr) bool
+// chunk is what one read brought. A request's time runs from its last byte, also where it waits behind another one.
+type chunk struct {
+	bytes []byte
+	at    time.Duration
 }
 
 func newConn(s *Server, id connlimit.ID, nc *net.TCPConn, raw syscall.RawConn) *conn {
@@ -61,64 +77,69 @@
 	return c
 }
 
-// Read reads what came ahead, then from the socket. Each step holds the lock, so that bytes are either still in the
-// socket, where unread finds them, or the connection is known to ask.
+// Read reads what came ahead, then from the socket.
 func (c *conn) Read(b []byte) (int, error) {
 	c.s.mu.Lock()
 	if len(c.readAhead) > 0 {
-		n := copy(b, c.readAhead)
-		c.readAhead = c.readAhead[n:]
+		first := &c.readAhead[0]
+		n := copy(b, first.bytes)
+		c.arrived = first.at
+		c.ahead -= n
+		if first.bytes = first.bytes[n:]; len(first.bytes) == 0 {
+			c.readAhead = c.readAhead[1:]
+		}
 		c.s.mu.Unlock()
 		return n, nil
 	}
 	c.s.mu.Unlock()
+	n, err := c.receive(b)
+	c.arrived = c.readAt
+	return n, err
+}
+
+// receive reads from the socket. Each step holds the lock, so that bytes are either still in the socket, where Peek finds
+// them, or the connection is known to ask.
+func (c *conn) receive(b []byte) (int, error) {
 	c.buf = b
-	if err := c.raw.Read(c.step); err != nil {
-		return 0, err
-	}
-	if c.n == 0 && c.err == nil {
-		return 0, io.EOF
+	for {
+		if err := c.raw.Read(c.step); err != nil {
+			return 0, err
+		}
+		if c.err != nil && sock.Transient(c.err) {
+			time.Sleep(sock.RetryPause)
+			continue
+		}
+		if c.n == 0 && c.err == nil {
+			return 0, io.EOF
+		}
+		return c.n, c.err
 	}
-	return c.n, c.err
 }
 
 func (c *conn) readStep(fd uintptr) bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	n, err := syscall.Read(int(fd), c.buf)
-	for err == syscall.EINTR {
-		n, err = syscall.Read(int(fd), c.buf)
-	}
-	if err == syscall.EAGAIN {
+	c.n, c.err = sock.ReadNow(fd, c.buf)
+	if c.err == syscall.EAGAIN {
 		return false
 	}
-	c.n, c.err = max(n, 0), err
 	switch {
+	case c.err != nil && sock.Transient(c.err):
+		return true
 	case c.n == 0:
 		c.gone = true
-	case c.phase == idle:
+		return true
+	case c.phase == idle || c.phase == reading && !c.begun:
 		c.to(reading)
-		c.begun = true
-	default:
-		c.begun = true
 	}
+	c.begun = true
+	c.readAt = c.s.clock()
 	return true
 }
 
-// peek looks at the socket without taking anything: whether bytes wait, and whether it has ended.
-func (c *conn) peek() (unread, ended bool) {
-	c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && n > 0
-		ended = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return unread, ended
-}
-
 // unread reports whether bytes wait in the socket; s.mu is held.
 func (c *conn) unread() bool {
-	unread, _ := c.peek()
+	unread, _ := sock.Peek(c.raw)
 	return unread
 }
 
@@ -130,7 +151,7 @@
 	if c.gone || c.open != open {
 		return true
 	}
-	_, c.gone = c.peek()
+	_, c.gone = sock.Peek(c.raw)
 	return c.gone
 }
 
@@ -162,39 +183,6 @@
 	return true
 }
 
-// shut begins the end of a connection without an open request: its reader drops what still comes, and closes. One with an
-// open request ends with its answer. s.mu is held. True says that it may not linger: the caller is to close it once it
-// holds the lock no more, as Close waits for the reader's step, which may wait for the lock.
-func (c *conn) shut() (close bool) {
-	if c.phase == active {
-		c.last = true
-		return false
-	}
-	return c.halfClose()
-}
-
-// halfClose shuts the writing side behind what was written; s.mu is held. True as of shut; the reader closes it too.
-func (c *conn) halfClose() (close bool) {
-	if c.phase == closing {
-		return false
-	}
-	c.to(closing)
-	if c.s.lingering >= c.s.lingeringMost {
-		c.abort()
-		return true
-	}
-	c.s.lingering++
-	c.lingers = true
-	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
-	return false
-}
-
-// abort ends a connection both ways. It is left to the reader to close it; s.mu is held.
-func (c *conn) abort() {
-	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
-}
-
 func (c *conn) run() {
 	defer c.s.wg.Done()
 	defer c.end()
@@ -241,26 +229,20 @@
 		if b == nil {
 			b = make([]byte, 1<<10)
 		}
-		c.buf = b
-		err := c.raw.Read(c.step)
+		n, err := c.receive(b)
 		s.mu.Lock()
 		c.watches = false
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
-		if err != nil || c.n == 0 {
+		if err != nil {
 			s.mu.Unlock()
 			return false
 		}
-		if c.last || len(c.readAhead)+c.n > aheadMost {
-			c.last, c.readAhead = true, nil
-			if c.dropped += c.n; c.dropped > lingerMost {
-				s.mu.Unlock()
-				return false
-			}
-			continue
+		if !c.keep(b[:n]) {
+			s.mu.Unlock()
+			return false
 		}
-		c.readAhead = append(c.readAhead, b[:c.n]...)
 	}
 	if c.woken {
 		c.woken = false
@@ -279,56 +261,17 @@
 	return !ends
 }
 
-// end forgets the connection. An open request's client has gone with it; the core gives it no final answer, so that
-// its X-Txn is freed here.
-func (c *conn) end() {
-	s := c.s
-	s.mu.Lock()
-	lingers := c.lingers && !c.gone && !s.closed
-	open, txn := c.open, c.txn
-	c.gone, c.open = true, ""
-	if txn != "" {
-		delete(s.ids, txn)
-	}
-	s.mu.Unlock()
-	if open != "" {
-		s.core.Gone(open)
-	}
-	if lingers {
-		io.CopyN(io.Discard, c, lingerMost) // to its end, the deadline or the bound
-	}
-	c.nc.Close()
-	s.mu.Lock()
-	delete(s.conns, c.id)
-	s.limit.Closed(c.id)
-	if c.lingers {
-		s.lingering--
-	}
-	s.bodies -= c.held
-	c.held = 0
-	s.mu.Unlock()
-	s.Conns.Add(-1)
-}
-
-// reject says why a request can't be used and ends the connection.
-func (c *conn) reject(err error) {
-	var e *http1.Error
-	if !errors.As(err, &e) {
-		return // the connection broke
-	}
-	s := c.s
-	s.Bad.Add(1)
-	s.log.Debug("turned away", "status", e.Status, "why", e.Why)
-	status := e.Status
-	if status < 400 {
-		status = 400
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.phase != closing {
-		sock.WriteNow(c.raw, appendAnswer(nil, status, "", e.Why+"\n", true))
-		c.halfClose()
+// keep holds bytes that came behind the open request; s.mu is held. What is too much is dropped and ends the connection
+// with the answer under way; false ends it at once.
+func (c *conn) keep(b []byte) bool {
+	if !c.last && c.ahead+len(b) <= aheadMost {
+		c.readAhead = append(c.readAhead, chunk{bytes.Clone(b), c.readAt})
+		c.ahead += len(b)
+		return true
 	}
+	c.last, c.readAhead, c.ahead = true, nil, 0
+	c.dropped += len(b)
+	return c.dropped <= lingerMost
 }
 
 // request takes one request whose head was read; false ends the connection.
@@ -344,18 +287,14 @@
 		}
 	}
 	if q.Expects && c.rd.Buffered() == 0 {
-		s.mu.Lock()
-		if c.phase != closing {
-			sock.WriteNow(c.raw, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
-		}
-		s.mu.Unlock()
+		c.tell([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	body, err := c.rd.Body(q.Length)
 	if err != nil {
 		c.reject(err)
 		return false
 	}
-	call, p, err := s.rules.read(q, body, s.clock())
+	call, p, err := s.rules.read(q, body, c.arrived)
 	if err != nil {
 		c.reject(err)
 		return false
@@ -394,121 +333,3 @@
 	c.to(active)
 	return nil
 }
-
-// health answers the platform's question whether the gateway can serve.
-func (c *conn) health(last bool) bool {
-	s := c.s
-	ready := s.ready()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.phase == closing {
-		return false
-	}
-	status := 200
-	if s.draining || !ready {
-		status = 503
-	}
-	n, err := sock.WriteNow(c.raw, appendAnswer(nil, status, "", "", last))
-	if n == 0 || err != nil && err != syscall.EAGAIN {
-		return false
-	}
-	if last || s.stopping {
-		c.halfClose()
-		return false
-	}
-	c.begun = false
-	c.to(idle)
-	return true
-}
-
-// done writes the one answer; the loop calls it, so it must not wait for the client. The connection's own goroutine
-// takes up what the client sent meanwhile only once the answer is written whole.
-func (c *conn) done(id string, f front.Final) {
-	s := c.s
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.open != id { // its client has gone, and its X-Txn may be another's by now
-		return
-	}
-	delete(s.ids, c.txn)
-	c.open, c.txn = "", ""
-	c.last = c.last || s.draining
-	b := finalBytes(f, c.last)
-	n, err := sock.WriteNow(c.raw, b)
-	switch {
-	case err != nil && err != syscall.EAGAIN:
-		c.last = true
-	case n < len(b):
-		// The client does not read: what its socket's buffer does not take has a bounded time, and no part of the loop's.
-		s.wg.Add(1)
-		go c.writeRest(b[n:])
-		return
-	}
-	c.free()
-}
-
-// free ends the open request, whose answer is written; s.mu is held.
-func (c *conn) free() {
-	s := c.s
-	s.bodies -= c.held
-	c.held = 0
-	switch {
-	case c.gone: // its reader ends it
-		c.to(closing)
-	case c.last:
-		c.halfClose()
-	default:
-		c.to(idle)
-	}
-	if c.watches {
-		c.woken = true
-		c.nc.SetReadDeadline(time.Now())
-	}
-}
-
-func (c *conn) writeRest(b []byte) {
-	defer c.s.wg.Done()
-	c.nc.SetWriteDeadline(time.Now().Add(writeFor))
-	_, err := c.nc.Write(b)
-	c.nc.SetWriteDeadline(time.Time{})
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	if err != nil {
-		c.abort()
-	}
-	c.free()
-}
-
-// finalBytes is a final answer in HTTP: 429 and 503 are refusals and promise that trying again is harmless; a failed
-// one is 502. A 429 may say when to come back.
-func finalBytes(f front.Final, last bool) []byte {
-	switch f.Kind {
-	case front.Served:
-		return appendAnswer(make([]byte, 0, 96+len(f.Body)), 200, "", string(f.Body), last)
-	case front.Refused:
-		after := ""
-		if f.RetryAfter > 0 {
-			after = strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)
-		}
-		return appendAnswer(nil, 429, after, "", last)
-	}
-	return appendAnswer(nil, 502, "", "", last)
-}
-
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-	409: "Conflict", 411: "Length Required", 413: "Content Too Large", 414: "URI Too Long", 417: "Expectation Failed",
-	429: "Too Many Requests", 431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway",
-	503: "Service Unavailable", 505: "HTTP Version Not Supported"}
-
-func appendAnswer(b []byte, status int, after, body string, last bool) []byte {
-	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10)
-	b = append(append(b, ' '), reasons[status]...)
-	if after != "" {
-		b = append(append(b, "\r\nRetry-After: "...), after...)
-	}
-	if last {
-		b = append(b, "\r\nConnection: close"...)
-	}
-	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(body)), 10)
-	return append(append(b, "\r\n\r\n"...), body...)
-}
--- /dev/null
+++ b/front/http/end.go
@@ -0,0 +1,138 @@
+package http
+
+import (
+	"io"
+	"syscall"
+	"time"
+
+	"winghatch/sock"
+)
+
+// turnAway ends a connection without an open request: with an answer where a byte of one has come, as its last byte may be
+// on the way, else without. s.mu is held.
+func (c *conn) turnAway(status int, why string) {
+	if c.phase == closing {
+		return
+	}
+	asks := c.phase == reading && (c.begun || c.unread())
+	c.to(closing)
+	if !asks {
+		c.halfClose()
+		return
+	}
+	c.write(appendAnswer(nil, status, "", why+"\n", true), c.halfClose)
+}
+
+// halfClose shuts the writing side behind what was written; the reader drops what still comes, and closes. Where too many
+// connections linger so, the one that has lingered longest is cut; release closes it. s.mu is held.
+func (c *conn) halfClose() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.to(closing)
+	s := c.s
+	if s.lingering.Len() >= s.lingeringMost {
+		eldest := s.lingering.Front().Value.(*conn)
+		eldest.lingersNoMore()
+		eldest.abort()
+		s.cut = append(s.cut, eldest)
+	}
+	c.lingers = s.lingering.PushBack(c)
+	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+}
+
+// lingersNoMore takes a connection out of those that linger; s.mu is held.
+func (c *conn) lingersNoMore() {
+	if c.lingers != nil {
+		c.s.lingering.Remove(c.lingers)
+		c.lingers = nil
+	}
+}
+
+// abort ends a connection both ways. It is left to the reader, or to release, to close it; s.mu is held.
+func (c *conn) abort() {
+	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+}
+
+// end forgets the connection. An open request's client has gone with it; the core gives it no final answer, so that
+// its X-Txn is freed here.
+func (c *conn) end() {
+	s := c.s
+	s.mu.Lock()
+	open, txn := c.open, c.txn
+	c.gone, c.open = c.gone || open != "", ""
+	if txn != "" {
+		delete(s.ids, txn)
+	}
+	s.mu.Unlock()
+	if open != "" {
+		s.core.Gone(open)
+	}
+	c.writes.Wait()
+	s.mu.Lock()
+	lingers := c.lingers != nil && !c.gone && !s.closed
+	s.mu.Unlock()
+	if lingers {
+		io.CopyN(io.Discard, c, lingerMost) // to its end, the deadline or the bound
+	}
+	c.nc.Close()
+	s.mu.Lock()
+	delete(s.conns, c.id)
+	s.limit.Closed(c.id)
+	c.lingersNoMore()
+	s.bodies -= c.held
+	c.held = 0
+	s.mu.Unlock()
+	s.Conns.Add(-1)
+}
+
+// release unlocks s.mu and closes the connections that were cut meanwhile. Close waits for a reader's step, which may wait
+// for the lock.
+func (s *Server) release() {
+	cut := s.cut
+	s.cut = nil
+	s.mu.Unlock()
+	for _, c := range cut {
+		c.nc.Close()
+	}
+}
+
+// write writes an answer without waiting and calls then, under the lock, once it is written or can't be. What the socket's
+// buffer does not take has a bounded time of a goroutine of its own. s.mu is held.
+func (c *conn) write(b []byte, then func()) {
+	n, err := sock.WriteNow(c.raw, b)
+	if n == len(b) || err != nil && !sock.Transient(err) {
+		if n < len(b) {
+			c.last = true // it broke
+		}
+		then()
+		return
+	}
+	c.s.wg.Add(1)
+	c.writes.Add(1)
+	go c.writeRest(b[n:], then)
+}
+
+func (c *conn) writeRest(b []byte, then func()) {
+	defer c.s.wg.Done()
+	defer c.writes.Done()
+	err := sock.WriteAll(c.nc, b, writeFor)
+	c.s.mu.Lock()
+	defer c.s.release()
+	if err != nil {
+		c.abort()
+	}
+	then()
+}
+
+// tell writes for the connection's own goroutine, which may wait for room.
+func (c *conn) tell(b []byte) {
+	c.s.mu.Lock()
+	closing := c.phase == closing
+	c.s.mu.Unlock()
+	if !closing {
+		sock.WriteAll(c.nc, b, writeFor)
+	}
+}
--- a/front/http/server.go
+++ b/front/http/server.go
@@ -8,11 +8,13 @@
 package http
 
 import (
+	"container/list"
 	"errors"
 	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"winghatch/connlimit"
@@ -58,8 +60,9 @@
 	conns         map[connlimit.ID]*conn
 	ids           map[string]struct{} // X-Txn of open requests
 	next          connlimit.ID
-	lingering     int // connections that are shut and not closed yet
-	lingeringMost int // as many at most
+	lingering     *list.List // connections that are shut and not closed yet, longest first
+	cut           []*conn    // of those, the ones that release is to close
+	lingeringMost int        // as many at most
 	bodies        int64
 	bodyRoom      int64
 	draining      bool // answers say that their connection ends
@@ -73,7 +76,7 @@
 func New(rules *Rules, core front.Core, o Options, clock func() time.Duration, ready func() bool, log *slog.Logger) *Server {
 	lingeringMost := max(1, o.Conns/lingerPart)
 	return &Server{rules: rules, core: core, clock: clock, log: log, ready: ready, limit: connlimit.New(max(1, o.Conns-lingeringMost)),
-		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, lingeringMost: lingeringMost, bodyRoom: o.Bodies, quit: make(chan struct{})}
+		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, lingering: list.New(), lingeringMost: lingeringMost, bodyRoom: o.Bodies, quit: make(chan struct{})}
 }
 
 // Serve accepts until Close.
@@ -99,36 +102,42 @@
 		nc.Close()
 		return
 	}
+	if !s.seat(nc, raw) {
+		s.Full.Add(1)
+		nc.Close()
+		return
+	}
+}
+
+// seat gives a new connection its place, if need be another's.
+func (s *Server) seat(nc *net.TCPConn, raw syscall.RawConn) bool {
 	s.mu.Lock()
+	defer s.release()
+	if s.closed {
+		return false
+	}
 	s.next++
 	id := s.next
-	out, closes, ok := s.limit.Accept(s.clock(), id)
-	var old *conn
-	if closes {
-		s.Evicted.Add(1)
-		if c := s.conns[out]; c.shut() {
-			old = c
-		}
+	out, evicts, ok := s.limit.Accept(s.clock(), id, s.unread)
+	if !ok {
+		return false
 	}
-	if !ok || s.closed {
-		s.limit.Closed(id)
-		s.mu.Unlock()
-		s.Full.Add(1)
-		nc.Close()
-		return
+	if evicts {
+		s.Evicted.Add(1)
+		s.conns[out].turnAway(503, "too many connections")
 	}
 	c := newConn(s, id, nc, raw)
 	s.conns[id] = c
 	s.wg.Add(1)
-	s.mu.Unlock()
-	if old != nil {
-		old.nc.Close()
-	}
 	s.Opened.Add(1)
 	s.Conns.Add(1)
 	go c.run()
+	return true
 }
 
+// unread reports whether bytes wait in a connection's socket; s.mu is held.
+func (s *Server) unread(id connlimit.ID) bool { return s.conns[id].unread() }
+
 // sweep shuts what is due.
 func (s *Server) sweep() {
 	t := time.NewTicker(sweepEvery)
@@ -145,23 +154,11 @@
 
 // closeExpired shuts the connections whose time is up.
 func (s *Server) closeExpired(now time.Duration) {
-	var over []*conn
 	s.mu.Lock()
-	for _, id := range s.limit.Expired(now) {
-		c := s.conns[id]
-		if c.phase == idle && c.unread() {
-			// Its next request has come in this moment: it keeps the seat that was just taken back.
-			s.limit.Accept(now, id)
-			continue
-		}
+	defer s.release()
+	for _, id := range s.limit.Expired(now, s.unread) {
 		s.Closed.Add(1)
-		if c.shut() {
-			over = append(over, c)
-		}
-	}
-	s.mu.Unlock()
-	for _, c := range over {
-		c.nc.Close()
+		s.conns[id].turnAway(408, "the request was not whole in time")
 	}
 }
 
@@ -176,11 +173,11 @@
 // answer before the process ends, and one that comes later finds its connection shut.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.release()
 	s.stopping = true
 	for _, c := range s.conns {
-		if c.phase == idle && !c.unread() || c.phase == reading && !c.begun && !c.unread() {
-			c.shut()
+		if (c.phase == idle || c.phase == reading && !c.begun) && !c.unread() {
+			c.turnAway(503, "the gateway stops")
 		}
 	}
 }
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -1,14 +1,46 @@
 // Package sock has what the platform's two sides ask of a socket beyond package net.
 package sock
 
-import "syscall"
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// System calls on sockets. Tests put ones that fail in their place.
+var (
+	Write = syscall.Write
+	Read  = syscall.Read
+	Recv  = func(fd int, b []byte, flags int) (int, error) {
+		n, _, err := syscall.Recvfrom(fd, b, flags)
+		return n, err
+	}
+)
+
+// RetryPause is the wait before a system call that failed for a moment is tried again.
+const RetryPause = time.Millisecond
+
+// Transient reports whether a system call's error passes by itself: the call may be tried again a moment later, and the
+// connection is as good as before.
+func Transient(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EAGAIN, syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
 
 // WriteNow hands bytes to the socket's buffer and returns how many it took, without waiting for room: then err is
-// syscall.EAGAIN. The loop writes so, as one that waited for a peer would hold all others up.
+// syscall.EAGAIN, or another error that Transient reports. The loop writes so, as one that waited for a peer would hold
+// all others up.
 func WriteNow(raw syscall.RawConn, b []byte) (n int, err error) {
 	closed := raw.Write(func(fd uintptr) bool {
 		for {
-			n, err = syscall.Write(int(fd), b)
+			n, err = Write(int(fd), b)
 			if err != syscall.EINTR {
 				return true
 			}
@@ -19,3 +51,53 @@
 	}
 	return max(n, 0), err
 }
+
+// WriteAll writes all bytes within a time and waits for room. Errors that pass are waited for too.
+func WriteAll(nc net.Conn, b []byte, within time.Duration) error {
+	deadline := time.Now().Add(within)
+	nc.SetWriteDeadline(deadline)
+	defer nc.SetWriteDeadline(time.Time{})
+	for {
+		n, err := nc.Write(b)
+		b = b[n:]
+		if err == nil || !Transient(err) || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(RetryPause)
+	}
+}
+
+// ReadNow reads what has come without waiting; with nothing there err is syscall.EAGAIN.
+func ReadNow(fd uintptr, b []byte) (n int, err error) {
+	for {
+		n, err = Read(int(fd), b)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+// Peek looks at a socket without taking anything: whether bytes wait in it, and whether the other side has ended it, also
+// behind bytes that wait.
+func Peek(raw syscall.RawConn) (unread, ended bool) {
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, err := Recv(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err != nil:
+			ended = !Transient(err)
+		case n == 0:
+			ended = true
+		default:
+			unread, ended = true, hungUp(int32(fd))
+		}
+	})
+	return unread, ended
+}
+
+// hungUp reports whether the other side has closed or reset, whatever still waits to be read.
+func hungUp(fd int32) bool {
+	fds := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n == 1 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -25,6 +25,9 @@
 	"winghatch/upstream"
 )
 
+// writeFor is the time that a server has to take what its socket's buffer did not; an attempt's own is shorter.
+const writeFor = 10 * time.Second
+
 // Options are the pool's bounds.
 type Options struct {
 	ConnectTimeout time.Duration
@@ -258,16 +261,11 @@
 	if k.came {
 		return false
 	}
-	quiet := false
-	k.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-	})
-	if !quiet {
+	unread, ended := sock.Peek(k.raw)
+	if unread || ended {
 		k.p.Stray.Add(1)
 	}
-	return quiet
+	return !unread && !ended
 }
 
 // start writes the attempt; p.mu is held. A socket's buffer takes it whole but for the largest bodies.
@@ -282,7 +280,7 @@
 		c.Begin()
 		return
 	}
-	if err != nil && err != syscall.EAGAIN {
+	if err != nil && !sock.Transient(err) {
 		// The connection broke before the last byte was written: it never ran. Its reader ends the attempt.
 		k.shut()
 		return
@@ -297,7 +295,7 @@
 	defer k.p.wg.Done()
 	defer func() { k.p.mu.Lock(); k.rests = false; k.p.mu.Unlock() }()
 	if len(b) > 1 {
-		if _, err := k.nc.Write(b[:len(b)-1]); err != nil {
+		if err := sock.WriteAll(k.nc, b[:len(b)-1], writeFor); err != nil {
 			k.nc.Close()
 			return
 		}
@@ -311,7 +309,7 @@
 		return
 	}
 	if c.Begin() {
-		if _, err := k.nc.Write(b[len(b)-1:]); err != nil {
+		if err := sock.WriteAll(k.nc, b[len(b)-1:], writeFor); err != nil {
 			k.nc.Close()
 		}
 	}
@@ -397,27 +395,29 @@
 // was read that nobody has looked at yet.
 func (k *conn) Read(b []byte) (int, error) {
 	k.buf = b
-	if err := k.raw.Read(k.step); err != nil {
-		return 0, err
-	}
-	if k.n == 0 && k.err == nil {
-		return 0, io.EOF
+	for {
+		if err := k.raw.Read(k.step); err != nil {
+			return 0, err
+		}
+		if k.err != nil && sock.Transient(k.err) {
+			time.Sleep(sock.RetryPause)
+			continue
+		}
+		if k.n == 0 && k.err == nil {
+			return 0, io.EOF
+		}
+		return k.n, k.err
 	}
-	return k.n, k.err
 }
 
 func (k *conn) readStep(fd uintptr) bool {
 	k.p.mu.Lock()
 	defer k.p.mu.Unlock()
-	n, err := syscall.Read(int(fd), k.buf)
-	for err == syscall.EINTR {
-		n, err = syscall.Read(int(fd), k.buf)
-	}
-	if err == syscall.EAGAIN {
+	k.n, k.err = sock.ReadNow(fd, k.buf)
+	if k.err == syscall.EAGAIN {
 		return false
 	}
-	k.n, k.err = max(n, 0), err
-	if k.call == nil {
+	if k.call == nil && !(k.err != nil && sock.Transient(k.err)) {
 		k.came = true
 	}
 	return true
