--- a/http1/http1.go
+++ b/http1/http1.go
@@ -263,18 +263,12 @@
 	}
 	var b []byte
 	for {
-		r.buf = r.buf[:0]
-		from, to, err := r.line()
-		if err != nil {
-			return nil, ended(err)
-		}
-		size, _, _ := strings.Cut(string(r.buf[from:to]), ";")
-		n, err := number(strings.TrimRight(size, " \t"), 16)
+		n, err := r.chunkSize()
 		if err != nil {
 			return nil, err
 		}
 		if n == 0 {
-			break
+			return b, nil
 		}
 		if len(b)+n > r.lim.Body {
 			return nil, bad(413, "a body of more than %d bytes", r.lim.Body)
@@ -282,25 +276,46 @@
 		if b, err = r.more(b, n); err != nil {
 			return nil, err
 		}
-		var end [2]byte
-		if _, err := io.ReadFull(r.r, end[:]); err != nil {
-			return nil, ended(err)
-		}
-		if end != [2]byte{'\r', '\n'} {
-			return nil, bad(400, "a chunk that is longer than its length")
+		if err := r.chunkEnd(); err != nil {
+			return nil, err
 		}
 	}
-	for r.buf = r.buf[:0]; ; { // trailers are read and dropped
+}
+
+// chunkSize reads the line ahead of a chunk; 0 is the last one, behind which trailers are read and dropped.
+func (r *Reader) chunkSize() (int, error) {
+	r.buf = r.buf[:0]
+	from, to, err := r.line()
+	if err != nil {
+		return 0, ended(err)
+	}
+	size, _, _ := strings.Cut(string(r.buf[from:to]), ";")
+	n, err := number(strings.TrimRight(size, " \t"), 16)
+	if err != nil || n > 0 {
+		return n, err
+	}
+	for r.buf = r.buf[:0]; ; {
 		from, to, err := r.line()
 		if err != nil {
-			return nil, ended(err)
+			return 0, ended(err)
 		}
 		if from == to {
-			return b, nil
+			return 0, nil
 		}
 	}
 }
 
+func (r *Reader) chunkEnd() error {
+	var end [2]byte
+	if _, err := io.ReadFull(r.r, end[:]); err != nil {
+		return ended(err)
+	}
+	if end != [2]byte{'\r', '\n'} {
+		return bad(400, "a chunk that is longer than its length")
+	}
+	return nil
+}
+
 // bodyStep is how far a body grows at once: a length that is only announced costs no memory.
 const bodyStep = 16 << 10
 
@@ -341,45 +356,119 @@
 
 // Response reads a whole answer and skips those of 1xx ahead of it.
 func (r *Reader) Response() (*Response, error) {
+	p, length, err := r.responseHead(r.lim.Body)
+	switch {
+	case err != nil:
+		return nil, err
+	case length == toEnd:
+		p.Body, err = r.rest()
+	default:
+		p.Body, err = r.Body(length)
+	}
+	return p, err
+}
+
+// Stream reads the head of an answer as Response does. Its body, of any length, is to be read from the reader returned up to
+// io.EOF before the next call.
+func (r *Reader) Stream() (*Response, io.Reader, error) {
+	p, length, err := r.responseHead(anyLength)
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case length == toEnd:
+		return p, r.r, nil
+	case length < 0:
+		return p, &chunks{r: r}, nil
+	}
+	return p, &fixed{r.r, length}, nil
+}
+
+// fixed is a body of a length.
+type fixed struct {
+	r    io.Reader
+	left int
+}
+
+func (f *fixed) Read(b []byte) (int, error) {
+	if f.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := f.r.Read(b[:min(len(b), f.left)])
+	if f.left -= n; err != nil && f.left > 0 {
+		return n, ended(err)
+	}
+	return n, nil
+}
+
+// chunks is a chunked body.
+type chunks struct {
+	r    *Reader
+	left int // of the chunk under way
+	done bool
+}
+
+func (c *chunks) Read(b []byte) (n int, err error) {
+	if c.left == 0 && !c.done {
+		if c.left, err = c.r.chunkSize(); err != nil {
+			return 0, err
+		}
+		c.done = c.left == 0
+	}
+	if c.done {
+		return 0, io.EOF
+	}
+	n, err = c.r.r.Read(b[:min(len(b), c.left)])
+	if c.left -= n; err != nil {
+		return n, ended(err)
+	}
+	if c.left == 0 {
+		err = c.r.chunkEnd()
+	}
+	return n, err
+}
+
+// Lengths of a body beside those that a head tells.
+const (
+	toEnd     = -2      // it ends with its connection
+	anyLength = 1 << 40 // a bound on what is streamed
+)
+
+// responseHead reads the head of an answer whose body has most bytes, and the length of the body: -1 if it is chunked.
+func (r *Reader) responseHead(most int) (*Response, int, error) {
 	for range interims {
 		h, err := r.head()
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		p := &Response{Head: *h}
 		if h.A != "HTTP/1.1" && h.A != "HTTP/1.0" || len(h.B) != 3 {
-			return nil, bad(502, "an answer that begins with %.20q", h.A+" "+h.B)
+			return nil, 0, bad(502, "an answer that begins with %.20q", h.A+" "+h.B)
 		}
 		if p.Status, err = number(h.B, 10); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		if p.Status < 100 || p.Status > 599 || p.Status == 101 {
-			return nil, bad(502, "status %d", p.Status)
+			return nil, 0, bad(502, "status %d", p.Status)
 		}
 		if p.Status < 200 {
 			continue
 		}
 		p.Close = h.Has("Connection", "close") || h.A == "HTTP/1.0"
 		if p.Status == 204 || p.Status == 304 {
-			return p, nil
+			return p, 0, nil
 		}
 		_, cls := h.Get("Content-Length")
 		_, tes := h.Get("Transfer-Encoding")
 		if cls+tes == 0 {
 			if !p.Close { // RFC 9112, section 6.3, 8: it would end with the connection, which can't be told from a break
-				return nil, bad(502, "an answer without a length")
+				return nil, 0, bad(502, "an answer without a length")
 			}
-			p.Body, err = r.rest()
-			return p, err
-		}
-		n, err := h.length(r.lim.Body)
-		if err != nil {
-			return nil, err
+			return p, toEnd, nil
 		}
-		p.Body, err = r.Body(n)
-		return p, err
+		n, err := h.length(most)
+		return p, n, err
 	}
-	return nil, bad(502, "more than %d answers of 1xx", interims)
+	return nil, 0, bad(502, "more than %d answers of 1xx", interims)
 }
 
 // rest reads up to the end of the connection. A reset is no end: what came before it is not whole.
