Slow start by monotonic time, configurations that become whole late; two faults of the stop shown

Cause: boot_ms was turned into the gateway's time by this machine's wall clock as it showed at the start (registry.Times): off by an hour, a cold server got its full part at once (240 of 400 requests) or none. A configuration that could not be read at its SIGHUP was read again at the next signal only (Wait).

Change: registry.Starts compares starts with each other only; a server that appears while the list is followed is no older than what was heard of discovery before; the wall clock decides only where a first list would put more than half of the servers into slow start. The core takes a start that turns out earlier as such. The file is read again while it can't be used, and for 4 s behind a signal, whenever it has changed. Stop and reload have channels of their own.

Tests: TestSlowStartDoesNotGoByTheWallClock (clock right, off by an hour and by 5 s, both ways) and TestAConfigurationThatIsWholeAfterItsSignal failed before and pass; units of Starts. TestTimesOfStarts goes with the type it tried, its cases are in starts_test.go. TestAStopAnswersAllBeforeTheKill and TestAStopAnswersTheBacklog are new and fail: requests with 3.9 s left are unanswered at the earliest kill, 30 of 30 in the listener's backlog are reset.

--- a/cmd/winghatch/serve.go
+++ b/cmd/winghatch/serve.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"winghatch/platform"
 )
@@ -17,8 +15,7 @@
 
 func (c *serveCmd) Run() error {
 	// First, so that no signal finds the process without an answer to it.
-	sigs := make(chan os.Signal, 16)
-	signal.Notify(sigs, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := platform.Notify()
 	level := slog.LevelInfo
 	if c.Debug {
 		level = slog.LevelDebug
@@ -33,6 +30,6 @@
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
-	g.Wait(c.Config, sigs)
+	g.Wait(c.Config, signals)
 	return nil
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -608,6 +608,8 @@
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
 		s.slow = 1
 		clear(s.miss)
+	} else if e.Started > 0 && e.Started < s.Started { // it is older than was known at first
+		s.coldUntil = min(s.coldUntil, e.Started+g.cfg.Safety.ColdFor)
 	}
 	s.Server = e
 }
--- a/nodelist/registry/registry_test.go
+++ b/nodelist/registry/registry_test.go
@@ -9,8 +9,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"winghatch/decide"
 )
 
 // agent answers each call by the next of its script; behind the last it is silent.
@@ -60,7 +58,7 @@
 
 // run follows an address until the test ends.
 func (f *trial) run(t *testing.T, addr string, o Options) {
-	o.Take, o.Log, o.Again = func(l *List) { f.took <- l }, slog.New(slog.DiscardHandler), time.Millisecond
+	o.Take, o.Log, o.Again = func(l *List, _ time.Duration) { f.took <- l }, slog.New(slog.DiscardHandler), time.Millisecond
 	f.w = New(addr, o)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -189,18 +187,3 @@
 		t.Errorf("rev %d, want 45", l.Rev)
 	}
 }
-
-func TestTimesOfStarts(t *testing.T) {
-	at := time.UnixMilli(1_000_000)
-	x := Times{Clock: time.Hour, Unix: at}
-	l := &List{Rev: 1, Targets: []Entry{{UID: "a", State: "ready", BootMS: 0}, {UID: "b", State: "ready", BootMS: 990_000},
-		{UID: "c", State: "gone", BootMS: 1}}}
-	u := x.Update(l, decide.FleetFull)
-	if got := [3]time.Duration{u.Servers[0].Started, u.Servers[1].Started, u.Servers[2].Started}; got !=
-		[3]time.Duration{0, time.Hour - 10*time.Second, time.Hour - 1000*time.Second + time.Millisecond} {
-		t.Errorf("starts %v", got)
-	}
-	if u.Servers[2].State != decide.Gone || u.Servers[0].State != decide.Serving {
-		t.Errorf("states %+v", u.Servers)
-	}
-}
--- a/nodelist/registry/watch.go
+++ b/nodelist/registry/watch.go
@@ -11,7 +11,8 @@
 
 // Options of Follow.
 type Options struct {
-	Take func(l *List)
+	// Take is given each list that brings news, and the time since discovery was last heard before it.
+	Take func(l *List, gap time.Duration)
 	Log  *slog.Logger
 
 	// Hold is how long a watch waits for news; Silent how much longer its answer may take, and Patience how long that of a
@@ -109,8 +110,9 @@
 	addr    string
 	known   bool // a list was taken from this address
 	rev     uint64
-	failed  int     // calls begun since the last answer, beyond the one that it led to
-	open    []*call // longest first
+	heard   time.Time // the last answer came
+	failed  int       // calls begun since the last answer, beyond the one that it led to
+	open    []*call   // longest first
 	answers chan answer
 	next    *time.Timer // to begin another call
 	calls   sync.WaitGroup
@@ -202,8 +204,10 @@
 	// The next call first: what changes until it is there counts as told.
 	f.begin(question{from: f.rev, hold: f.o.Hold}, a.conn)
 	f.next.Reset(f.o.Hold + f.o.Silent)
+	gap := time.Since(f.heard)
+	f.heard = time.Now()
 	if news {
-		f.o.Take(a.list)
+		f.o.Take(a.list, gap)
 	}
 }
 
