A stop answers all it has taken, the listener's backlog too, before the earliest kill

Cause: Drain waited for the longest deadline and 0.7 s, 3.7 s at least, while the kill may come 0.7 s behind the longest deadline and of that counts 3 s at most: requests with 4 s left, and any deadline's behind a hold-up, were unanswered by then. It closed the listener over connections that the machine had accepted and the process had not, which resets them.

Serve ends once its deadline has come and nothing waits to be accepted.

--- a/front/http/server.go
+++ b/front/http/server.go
@@ -12,6 +12,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,18 +20,20 @@
 
 	"winghatch/connlimit"
 	"winghatch/front"
+	"winghatch/sock"
 )
 
 const (
-	headMost   = 8 << 10
-	bodyMost   = 1 << 20 // the protocol says 64 KiB, the days of long requests bring more
-	lineMost   = 4 << 10 // size of a connection's buffer
-	aheadMost  = 8 << 10 // of what comes behind an open request is kept
-	lingerMost = 256 << 10
-	lingerFor  = 300 * time.Millisecond // for a client to read what was written last, and to close
-	lingerPart = 4                      // of the connections, one part may linger; beyond it they are closed at once
-	writeFor   = 2 * time.Second        // for a client to take an answer that its socket's buffer did not
-	sweepEvery = 200 * time.Millisecond
+	headMost    = 8 << 10
+	bodyMost    = 1 << 20 // the protocol says 64 KiB, the days of long requests bring more
+	lineMost    = 4 << 10 // size of a connection's buffer
+	aheadMost   = 8 << 10 // of what comes behind an open request is kept
+	lingerMost  = 256 << 10
+	lingerFor   = 300 * time.Millisecond // for a client to read what was written last, and to close
+	lingerPart  = 4                      // of the connections, one part may linger; beyond it they are closed at once
+	writeFor    = 2 * time.Second        // for a client to take an answer that its socket's buffer did not
+	acceptPause = 10 * time.Millisecond
+	sweepEvery  = 200 * time.Millisecond
 )
 
 // Counts are what operators are told of the front.
@@ -79,20 +82,25 @@
 		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, lingering: list.New(), lingeringMost: lingeringMost, bodyRoom: o.Bodies, quit: make(chan struct{})}
 }
 
-// Serve accepts until Close.
-func (s *Server) Serve(ln net.Listener) {
+// Serve accepts until the listener is closed, or its deadline has come and no connection waits to be accepted.
+func (s *Server) Serve(ln *net.TCPListener) {
 	go s.sweep()
 	for {
-		nc, err := ln.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
+		nc, err := ln.AcceptTCP()
+		switch {
+		case err == nil:
+			s.come(nc)
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if raw, err := ln.SyscallConn(); err != nil || !sock.Ready(raw) {
 				return
 			}
+			ln.SetDeadline(time.Now().Add(acceptPause))
+		default:
 			s.log.Warn("accept", "err", err) // EMFILE and the like: what is due frees descriptors
-			time.Sleep(10 * time.Millisecond)
-			continue
+			time.Sleep(acceptPause)
 		}
-		s.come(nc.(*net.TCPConn))
 	}
 }
 
@@ -182,6 +190,17 @@
 	}
 }
 
+// TurnAway ends every connection that has no request open, also where one is half read: the process is about to end.
+func (s *Server) TurnAway() {
+	s.mu.Lock()
+	defer s.release()
+	for _, c := range s.conns {
+		if c.phase != active {
+			c.turnAway(503, "the gateway stops")
+		}
+	}
+}
+
 // Close ends all connections and waits for their goroutines.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/front/http/server_test.go
+++ b/front/http/server_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go s.Serve(ln)
+	go s.Serve(ln.(*net.TCPListener))
 	t.Cleanup(func() { ln.Close(); s.Close() })
 	return c, s, ln.Addr().String()
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -289,10 +291,7 @@
 			l.Open.Add(-1)
 			l.finalTrace(o, "gone", "", 0)
 			l.measureFinal(o, "gone", front.Final{})
-			if !o.reserving {
-				l.handle(decide.ClientGone{ID: in.id})
-			}
-			l.forget(o)
+			l.callOff(o)
 		}
 	case inEnd:
 		l.ended(in.try, in.res)
@@ -324,6 +323,26 @@
 	}
 }
 
+// callOff ends what the core still does for a finished call.
+func (l *Loop) callOff(o *open) {
+	if !o.reserving {
+		l.handle(decide.ClientGone{ID: o.ID})
+	}
+	l.forget(o)
+}
+
+// FailOpen gives every open call its final answer at once, as failed, and returns after it: the process is about to end.
+func (l *Loop) FailOpen() {
+	l.Ask(func() {
+		for _, id := range slices.Sorted(maps.Keys(l.opens)) {
+			if o := l.opens[id]; o != nil && !o.finished {
+				l.final(o, front.Final{Kind: front.Failed})
+				l.callOff(o)
+			}
+		}
+	})
+}
+
 func (l *Loop) fire(token uint64, t *try) {
 	if t == nil {
 		l.handle(decide.TimerFired{Token: token})
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -95,9 +95,18 @@
 	return unread, ended
 }
 
+// Ready reports whether a listener has a connection to accept.
+func Ready(raw syscall.RawConn) (ready bool) {
+	raw.Control(func(fd uintptr) { ready = poll(int32(fd), unix.POLLIN) })
+	return ready
+}
+
 // hungUp reports whether the other side has closed or reset, whatever still waits to be read.
-func hungUp(fd int32) bool {
-	fds := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+func hungUp(fd int32) bool { return poll(fd, unix.POLLRDHUP) }
+
+// poll reports whether an event, or the end of a descriptor, has come.
+func poll(fd int32, event int16) bool {
+	fds := []unix.PollFd{{Fd: fd, Events: event}}
 	n, err := unix.Poll(fds, 0)
-	return err == nil && n == 1 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return err == nil && n == 1 && fds[0].Revents&(event|unix.POLLHUP|unix.POLLERR) != 0
 }
