--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,19 +55,20 @@
 
 // Servers.
 const (
-	baseGain   = 0.03            // gain of a class's usual time: slow, it is the fleet's yardstick
-	slowGain   = 0.2             // gain of a server's slowness against that: a few answers tell
-	firstGuess = 0.2             // of the aim: the usual time before any answer
-	slowMemory = 2 * time.Second // slowness fades at least so slowly: the unused get another look
-	crossZone  = 1.03            // factor on the estimate of a server in another zone
-	coldMargin = 0.5             // of the cold budget is used: costs vary and others' traffic is guessed
-	memoryOf   = 4.0             // answers of a server are how long its slowness is known ...
-	memoryMost = 20.0            // ... in seconds, this at most
-	missFades  = 2.0             // times that: known of a class's failures
-	missGain   = 0.25            // gain of a server's share of a class's requests that it leaves or fails
-	newsOf     = 3               // sights that a word carries
-	missNear   = 0.2             // over the least such share: as good as the best
-	lookAt     = 16              // servers, from a random one on, are looked at for a request
+	baseGain   = 0.03             // gain of a class's usual time: slow, it is the fleet's yardstick
+	slowGain   = 0.2              // gain of a server's slowness against that: a few answers tell
+	firstGuess = 0.2              // of the aim: the usual time before any answer
+	slowMemory = 2 * time.Second  // slowness fades at least so slowly: the unused get another look
+	crossZone  = 1.03             // factor on the estimate of a server in another zone
+	coldMargin = 0.5              // of the cold budget is used: costs vary and others' traffic is guessed
+	memoryOf   = 4.0              // answers of a server are how long its slowness is known ...
+	memoryMost = 20.0             // ... in seconds, this at most
+	missFades  = 2.0              // times that: known of a class's failures
+	missGain   = 0.25             // gain of a server's share of a class's requests that it leaves or fails
+	newsOf     = 3                // sights that a word carries
+	missNear   = 0.2              // over the least such share: as good as the best
+	usedFor    = 20 * time.Second // what was sent longer ago is nothing in the sum of what is sent
+	lookAt     = 16               // servers, from a random one on, are looked at for a request
 )
 
 // Attempts.
@@ -592,11 +593,16 @@
 		listed[s.ID] = true
 		g.listed(s, e.Kind == FleetStale)
 	}
-	if e.Kind != FleetDelta {
-		for _, s := range g.order {
-			if !listed[s.ID] {
-				s.State = Gone
-			}
+	g.serving = 0
+	for _, s := range g.order {
+		if e.Kind != FleetDelta && !listed[s.ID] {
+			s.State = Gone
+		}
+		switch s.State {
+		case Serving:
+			g.serving++
+		case Gone:
+			g.leaving = true
 		}
 	}
 	g.survey()
@@ -608,6 +614,7 @@
 		s.coldUntil, s.budget, s.budgetAt = e.Started+g.cfg.Safety.ColdFor, g.rng.Float64(), g.now
 		s.slow = 1
 		clear(s.miss)
+		g.uses(s)
 	} else if e.Started > 0 && e.Started < s.Started { // it is older than was known at first
 		s.coldUntil = min(s.coldUntil, e.Started+g.cfg.Safety.ColdFor)
 	}
@@ -694,22 +701,33 @@
 	return coldMargin * g.cfg.Safety.FallMultiple * (f + (1-f)*age) * warm
 }
 
+// survey sums up the servers, by those that were used of late or are cold: of thousands a gateway uses few.
 func (g *Gateway) survey() {
-	all := survey{}
-	for _, o := range g.order {
-		if o.State != Serving {
-			continue
-		}
-		all.serving++
-		all.open += g.load(o)
-		if o.coldUntil <= g.now {
-			all.warm++
-			all.sends += o.sends.get(g.now)
+	all := survey{serving: g.serving, warm: g.serving}
+	g.used = slices.DeleteFunc(g.used, func(s *server) bool {
+		load, cold := g.load(s), s.coldUntil > g.now
+		if s.State == Serving {
+			all.open += load
+			if cold {
+				all.warm--
+			} else {
+				all.sends += s.sends.get(g.now)
+			}
 		}
-	}
+		s.used = load > 0 || cold || g.now-s.sends.at < usedFor
+		return !s.used
+	})
 	g.all = all
 }
 
+// uses notes that a server has to be looked at by survey.
+func (g *Gateway) uses(s *server) {
+	if !s.used {
+		s.used = true
+		g.used = append(g.used, s)
+	}
+}
+
 func (g *Gateway) cold(s *server) bool {
 	if s.coldUntil <= g.now {
 		return false
@@ -919,6 +937,7 @@
 	s.out++
 	g.all.open++
 	s.sends.add(g.now, 1)
+	g.uses(s)
 	g.do(Send{r.ID, s.ID, max(r.until-g.now, time.Millisecond), r.repeatBefore()})
 	if g.now+wait < r.until {
 		g.wake(r.ID, a.n, g.now+wait)
--- a/decide/state.go
+++ b/decide/state.go
@@ -56,6 +56,9 @@
 	trip    time.Duration         // usual time of a home's answer
 	silent  map[int]time.Duration // homes that gave no answer, until then
 	all     survey
+	serving float64   // servers, as the list tells
+	used    []*server // of late, or cold; see survey
+	leaving bool      // some server is gone and not forgotten yet
 }
 
 type class struct {
@@ -131,6 +134,7 @@
 	lastGood, budgetAt time.Duration
 	budget             float64 // cold budget, in requests
 	coldUntil          time.Duration
+	used               bool // it is among the gateway's used ones
 }
 
 // survey counts the servers at each beat and each change of the list, so that no request needs to.
@@ -280,8 +284,16 @@
 // forgetGone drops servers that are gone once nothing of theirs is out: where servers are replaced all day by new ones
 // under new names, those of the whole day would else be kept and looked at.
 func (g *Gateway) forgetGone() {
+	if !g.leaving {
+		return
+	}
+	g.leaving = false
 	g.order = slices.DeleteFunc(g.order, func(s *server) bool {
-		if s.State != Gone || g.load(s) > 0 {
+		if s.State != Gone {
+			return false
+		}
+		if g.load(s) > 0 {
+			g.leaving = true
 			return false
 		}
 		delete(g.servers, s.ID)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -180,6 +180,9 @@
 	l.counts[cSent].Add(1)
 }
 
+// readPause is the wait behind a read that failed.
+const readPause = time.Millisecond
+
 // Serve reads until the socket is closed and hands on what may be taken.
 func (l *Link) Serve(take func(from int, text string)) {
 	seen := make([]window, len(l.addrs))
@@ -191,6 +194,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			time.Sleep(readPause)
 			continue // a peer that is away must not end the intake from the others
 		}
 		h, text, ok := parse(buf[:n], l.hash)
--- a/peer/plain/plain.go
+++ b/peer/plain/plain.go
@@ -14,6 +14,9 @@
 // Most is how many bytes a datagram may have.
 const Most = 256
 
+// readPause is the wait behind a read that failed.
+const readPause = time.Millisecond
+
 // Counts are what operators are told.
 type Counts struct{ Sent, Received, Foreign, TooLong, OverIntake, Failed atomic.Int64 }
 
@@ -62,15 +65,15 @@
 // Serve hands on what comes until Close.
 func (l *Link) Serve(take func(from int, text string)) {
 	var b [Most + 1]byte
-	for failures := 0; ; {
+	for {
 		n, addr, err := l.pc.ReadFromUDPAddrPort(b[:])
-		if err != nil {
-			if failures++; failures > 1000 || errors.Is(err, net.ErrClosed) {
-				return
-			}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // it passes, however long it takes
+			time.Sleep(readPause)
 			continue
 		}
-		failures = 0
 		from, ok := l.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
 		switch {
 		case !ok || from == l.rank:
--- a/peer/plain/plain_test.go
+++ b/peer/plain/plain_test.go
@@ -63,3 +63,27 @@
 		t.Errorf("error %v, want one that names peers[1]", err)
 	}
 }
+
+// Reads that fail for long, and then work again, end nothing.
+func TestReadsThatFailForLong(t *testing.T) {
+	a, b := listen(t), listen(t)
+	peers := []string{a.LocalAddr().String(), b.LocalAddr().String()}
+	la, _ := New(a, 0, peers, 0)
+	lb, _ := New(b, 1, peers, 0)
+	b.SetReadDeadline(time.Now().Add(-time.Second)) // each read fails
+	got := make(chan string, 1)
+	done := make(chan struct{})
+	go func() { lb.Serve(func(_ int, text string) { got <- text }); close(done) }()
+	select {
+	case <-done:
+		t.Fatal("the reader ended while the socket is open")
+	case <-time.After(200 * time.Millisecond):
+	}
+	b.SetReadDeadline(time.Time{})
+	la.Send(1, "hello")
+	if text := <-got; text != "hello" {
+		t.Errorf("%q came, want hello", text)
+	}
+	lb.Close()
+	<-done
+}
