--- a/upstream/http/late_test.go
+++ b/upstream/http/late_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -184,3 +187,62 @@
 		t.Errorf("beyond the sum: outcome %v, want %v", got.Outcome, decide.Error)
 	}
 }
+
+// A second answer may come some milliseconds behind the first, and be on its way as the next attempt is written: it must not
+// be taken for that one's.
+func TestASecondAnswerOnItsWayReachesNoOtherRequest(t *testing.T) {
+	const late, flight = 8 * time.Millisecond, 6 * time.Millisecond
+	addr := scripted(t, func(nc net.Conn, r *bufio.Reader) {
+		for {
+			txn, err := request(r)
+			if err != nil {
+				return
+			}
+			text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(txn), txn)
+			io.WriteString(nc, text)
+			nc.SetReadDeadline(time.Now().Add(late))
+			_, err = r.Peek(1)
+			nc.SetReadDeadline(time.Time{})
+			if errors.Is(err, os.ErrDeadlineExceeded) { // nothing else waits on the connection
+				time.Sleep(flight)
+				io.WriteString(nc, text)
+			}
+		}
+	})
+	p := newPool(t, Options{}, Server{ID: "a", Addr: addr})
+	for i := range 40 {
+		c, ch := attempt("a", fmt.Sprint("t", i))
+		p.Send(c)
+		if r := wait(t, ch); r.Outcome != decide.OK || string(r.Body) != fmt.Sprint("t", i) {
+			t.Fatalf("attempt t%d ended as %d with %q, want its own answer", i, r.Outcome, r.Body)
+		}
+		time.Sleep(late + flight/2)
+	}
+}
+
+// A connection that rested for longer than its server keeps it is not used, though the process was held up and nobody closed
+// it in time.
+func TestAConnectionThatRestedTooLongIsNotUsed(t *testing.T) {
+	addr := scripted(t, func(nc net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := request(r); err != nil {
+				return
+			}
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+		}
+	})
+	p := newPool(t, Options{Idle: time.Hour}, Server{ID: "a", Addr: addr})
+	for range 2 {
+		c, ch := attempt("a", "t")
+		p.Send(c)
+		wait(t, ch)
+		p.mu.Lock()
+		for k := range p.all {
+			k.rest = k.rest.Add(-2 * time.Hour) // as after a hold-up: the sweep has not run
+		}
+		p.mu.Unlock()
+	}
+	if n := p.Dials.Load(); n != 2 {
+		t.Errorf("%d connections for two attempts two hours apart, want 2", n)
+	}
+}
