Second answers on their way, long rests and many requests at once are kept apart and answered

Cause: Send took a connection the moment its answer had come, so that a second copy on its way was taken for the next attempt's answer; it looked at how long a connection had rested only by what package keep had learnt, not by the servers' bound; readers dropped what came behind 8 KiB of requests and ended the connection, the open request with it behind 256 KiB.

Change: a connection rests 25 ms behind an answer before it is used again, as second answers may come some milliseconds late; one that rested for the bound is not used. 128 KiB of requests behind an open one are kept within the room of bodies and served in their order; what is beyond is read and dropped, to see the client's end, and ends the connection behind what was kept, never the open request.

TestServerReplacedAtItsAddress and TestAnAttemptThatIsLateAtItsWrite wait those 25 ms before they want a connection used again.

--- a/front/http/answer.go
+++ b/front/http/answer.go
@@ -78,6 +78,10 @@
 	default:
 		c.to(idle)
 	}
+	if c.pauses {
+		c.pauses = false
+		c.freed <- struct{}{}
+	}
 	if c.watches {
 		c.woken = true
 		c.nc.SetReadDeadline(time.Now())
--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -110,16 +110,19 @@
 		call := <-core.came
 		if behind < 1000 {
 			<-sent
-			until(t, "all was read ahead", func() bool {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				for _, c := range s.conns {
-					return c.watches && !c.unread()
-				}
-				return false
-			})
-			c.nc.Close()
 		}
+		until(t, "all was read ahead that is kept", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, c := range s.conns {
+				return c.watches && !c.unread() || c.pauses
+			}
+			return false
+		})
+		if call.Left() {
+			t.Errorf("%d behind it: it has gone before it left", behind)
+		}
+		c.nc.Close()
 		if id := <-core.left; id != call.ID {
 			t.Errorf("%d behind it: %q has gone, want %q", behind, id, call.ID)
 		}
--- a/front/http/conn.go
+++ b/front/http/conn.go
@@ -49,8 +49,11 @@
 	lingers   *list.Element
 	readAhead []chunk // came behind the open request
 	ahead     int     // bytes in readAhead
-	dropped   int     // bytes that came when readAhead was full
-	held      int64   // counted in s.bodies
+	overrun   bool    // more came than is kept: nothing behind that is a request
+	dropped   int     // bytes of it
+	pauses    bool    // the reader waits in pause for freed
+	freed     chan struct{}
+	held      int64 // counted in s.bodies
 
 	writes sync.WaitGroup // answers that wait for room in the socket's buffer
 
@@ -71,7 +74,7 @@
 }
 
 func newConn(s *Server, id connlimit.ID, nc *net.TCPConn, raw syscall.RawConn) *conn {
-	c := &conn{s: s, id: id, nc: nc, raw: raw}
+	c := &conn{s: s, id: id, nc: nc, raw: raw, freed: make(chan struct{}, 1)}
 	c.step = c.readStep
 	c.rd = http1.NewReader(bufio.NewReaderSize(c, lineMost), http1.Limits{Head: headMost, Body: bodyMost, Room: c.room})
 	return c
@@ -85,13 +88,18 @@
 		n := copy(b, first.bytes)
 		c.arrived = first.at
 		c.ahead -= n
+		c.s.bodies -= int64(n)
 		if first.bytes = first.bytes[n:]; len(first.bytes) == 0 {
 			c.readAhead = c.readAhead[1:]
 		}
 		c.s.mu.Unlock()
 		return n, nil
 	}
+	overrun := c.overrun
 	c.s.mu.Unlock()
+	if overrun {
+		return 0, io.EOF
+	}
 	n, err := c.receive(b)
 	c.arrived = c.readAt
 	return n, err
@@ -175,7 +183,7 @@
 func (c *conn) room(n int) bool {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	if c.s.bodyRoom > 0 && c.s.bodies+int64(n) > c.s.bodyRoom {
+	if !c.s.hasRoom(n) {
 		return false
 	}
 	c.s.bodies += int64(n)
@@ -209,37 +217,27 @@
 }
 
 // watch returns once the connection may take its next request: while one is open, the reader waits for the client's end.
-// Bytes that come meanwhile must not hide that end, so they are read on and kept; of a client that sends without end
-// only the open request is answered. False ends the connection.
+// Bytes that come meanwhile must not hide that end, so they are read on and kept. False ends the connection.
 func (c *conn) watch() bool {
 	s := c.s
 	var b []byte
 	s.mu.Lock()
 	for c.phase == active {
-		if c.rd.Buffered() == 0 && len(c.readAhead) == 0 {
+		goesOn := true
+		switch {
+		case c.dropped > dropMost:
+			goesOn = c.pause()
+		case c.rd.Buffered() == 0 && c.ahead == 0:
 			s.mu.Unlock()
-			if c.rd.Wait() != nil {
-				return false
-			}
+			goesOn = c.rd.Wait() == nil
 			s.mu.Lock()
-			continue
-		}
-		c.watches = true
-		s.mu.Unlock()
-		if b == nil {
-			b = make([]byte, 1<<10)
-		}
-		n, err := c.receive(b)
-		s.mu.Lock()
-		c.watches = false
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			continue
-		}
-		if err != nil {
-			s.mu.Unlock()
-			return false
+		default:
+			if b == nil {
+				b = make([]byte, 16<<10)
+			}
+			goesOn = c.readOn(b)
 		}
-		if !c.keep(b[:n]) {
+		if !goesOn {
 			s.mu.Unlock()
 			return false
 		}
@@ -252,7 +250,7 @@
 		}
 		c.nc.SetReadDeadline(until)
 	}
-	if c.phase == idle && (c.rd.Buffered() > 0 || len(c.readAhead) > 0) {
+	if c.phase == idle && (c.rd.Buffered() > 0 || c.ahead > 0) {
 		c.to(reading)
 		c.begun = true
 	}
@@ -261,19 +259,53 @@
 	return !ends
 }
 
-// keep holds bytes that came behind the open request; s.mu is held. What is too much is dropped and ends the connection
-// with the answer under way; false ends it at once.
-func (c *conn) keep(b []byte) bool {
-	if !c.last && c.ahead+len(b) <= aheadMost {
-		c.readAhead = append(c.readAhead, chunk{bytes.Clone(b), c.readAt})
-		c.ahead += len(b)
+// readOn reads what comes behind the open request, until its answer wakes it; s.mu is held, but while it waits. False says
+// that the client has gone. What is too much to keep is dropped: the connection ends behind what was kept.
+func (c *conn) readOn(b []byte) bool {
+	c.watches = true
+	c.s.mu.Unlock()
+	n, err := c.receive(b)
+	c.s.mu.Lock()
+	c.watches = false
+	if err != nil {
+		return errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	if c.overrun = c.overrun || c.ahead+n > aheadMost || !c.s.hasRoom(n); c.overrun {
+		c.dropped += n
 		return true
 	}
-	c.last, c.readAhead, c.ahead = true, nil, 0
-	c.dropped += len(b)
-	return c.dropped <= lingerMost
+	c.readAhead = append(c.readAhead, chunk{bytes.Clone(b[:n]), c.readAt})
+	c.ahead += n
+	c.s.bodies += int64(n)
+	return true
+}
+
+// pause waits for the open request's answer without reading; s.mu is held, but while it waits. False says that the client has
+// gone.
+func (c *conn) pause() bool {
+	c.pauses = true
+	c.s.mu.Unlock()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-c.freed:
+			c.s.mu.Lock()
+			return true
+		case <-look.C:
+		}
+		c.s.mu.Lock()
+		if _, c.gone = sock.Peek(c.raw); c.gone {
+			c.pauses = false
+			return false
+		}
+		c.s.mu.Unlock()
+	}
 }
 
+// hasRoom reports whether so many bytes more may be held; s.mu is held.
+func (s *Server) hasRoom(n int) bool { return s.bodyRoom == 0 || s.bodies+int64(n) <= s.bodyRoom }
+
 // request takes one request whose head was read; false ends the connection.
 func (c *conn) request(q *http1.Request) bool {
 	s := c.s
--- a/front/http/end.go
+++ b/front/http/end.go
@@ -72,8 +72,11 @@
 	}
 	c.writes.Wait()
 	s.mu.Lock()
+	if !c.gone {
+		c.halfClose()
+	}
 	lingers := c.lingers != nil && !c.gone && !s.closed
-	s.mu.Unlock()
+	s.release()
 	if lingers {
 		io.CopyN(io.Discard, c, lingerMost) // to its end, the deadline or the bound
 	}
@@ -82,8 +85,8 @@
 	delete(s.conns, c.id)
 	s.limit.Closed(c.id)
 	c.lingersNoMore()
-	s.bodies -= c.held
-	c.held = 0
+	s.bodies -= c.held + int64(c.ahead)
+	c.held, c.ahead = 0, 0
 	s.mu.Unlock()
 	s.Conns.Add(-1)
 }
--- a/front/http/server.go
+++ b/front/http/server.go
@@ -25,10 +25,12 @@
 
 const (
 	headMost    = 8 << 10
-	bodyMost    = 1 << 20 // the protocol says 64 KiB, the days of long requests bring more
-	lineMost    = 4 << 10 // size of a connection's buffer
-	aheadMost   = 8 << 10 // of what comes behind an open request is kept
+	bodyMost    = 1 << 20   // the protocol says 64 KiB, the days of long requests bring more
+	lineMost    = 4 << 10   // size of a connection's buffer
+	aheadMost   = 128 << 10 // of what comes behind an open request is kept
+	dropMost    = 64 << 20  // of what comes behind that is read, to see the client's end
 	lingerMost  = 256 << 10
+	lookEvery   = 50 * time.Millisecond  // at a client whose bytes are not read on
 	lingerFor   = 300 * time.Millisecond // for a client to read what was written last, and to close
 	lingerPart  = 4                      // of the connections, one part may linger; beyond it they are closed at once
 	writeFor    = 2 * time.Second        // for a client to take an answer that its socket's buffer did not
--- a/upstream/http/late_test.go
+++ b/upstream/http/late_test.go
@@ -95,6 +95,7 @@
 	if n := p.Dials.Load(); n != 1 {
 		t.Errorf("%d connections were opened, want 1", n)
 	}
+	time.Sleep(quietFor)
 	call, ch = attempt("a", "rests") // on the connection that rests now
 	call.Late = late.Load
 	p.Send(call)
--- a/upstream/http/pool.go
+++ b/upstream/http/pool.go
@@ -28,6 +28,10 @@
 // writeFor is the time that a server has to take what its socket's buffer did not; an attempt's own is shorter.
 const writeFor = 10 * time.Second
 
+// quietFor is how long a connection rests behind an answer before it is used again: a second answer may come some milliseconds
+// late, and one that is on its way as the next attempt is written would be taken for that one's.
+const quietFor = 25 * time.Millisecond
+
 // Options are the pool's bounds.
 type Options struct {
 	ConnectTimeout time.Duration
@@ -75,18 +79,19 @@
 }
 
 type conn struct {
-	p     *Pool
-	s     *server
-	nc    *net.TCPConn
-	raw   syscall.RawConn
-	rd    *http1.Reader
-	call  *upstream.Call // p.mu guards the fields from here on
-	at    *list.Element  // in Pool.idle; nil while it carries an attempt or connects
-	rest  time.Time      // since then
-	lain  time.Duration  // it had rested before the attempt under way
-	came  bool           // bytes or the end came while it was at rest
-	rests bool           // a writeRest is under way
-	dead  bool
+	p        *Pool
+	s        *server
+	nc       *net.TCPConn
+	raw      syscall.RawConn
+	rd       *http1.Reader
+	call     *upstream.Call // p.mu guards the fields from here on
+	at       *list.Element  // in Pool.idle; nil while it carries an attempt or connects
+	rest     time.Time      // since then
+	answered time.Time      // its last answer came; zero: none
+	lain     time.Duration  // it had rested before the attempt under way
+	came     bool           // bytes or the end came while it was at rest
+	rests    bool           // a writeRest is under way
+	dead     bool
 
 	begun bool  // an answer has begun; the reader's own
 	held  int64 // counted in Pool.bodies; the reader's own
@@ -219,14 +224,7 @@
 		return
 	}
 	now := time.Since(p.began)
-	limit := p.keep.Limit(now)
-	for len(s.idle) > 0 {
-		k := s.idle[len(s.idle)-1]
-		if k.lain = time.Since(k.rest); k.lain >= limit || !k.fresh() {
-			k.kill()
-			continue
-		}
-		k.leave()
+	if k := s.take(min(p.keep.Limit(now), p.o.Idle)); k != nil {
 		p.keep.Used(now, k.lain)
 		k.call, c.Carrier = c, k
 		k.start()
@@ -255,6 +253,25 @@
 	go k.run(addr)
 }
 
+// take takes a connection out of those at rest, the one most recently used whose last answer came long enough ago and that
+// has rested for less than the limit; nil if there is none. p.mu is held.
+func (s *server) take(limit time.Duration) *conn {
+	now := time.Now()
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		k := s.idle[i]
+		if now.Sub(k.answered) < quietFor {
+			continue
+		}
+		k.lain = now.Sub(k.rest)
+		if k.lain < limit && k.fresh() {
+			k.leave()
+			return k
+		}
+		k.kill()
+	}
+	return nil
+}
+
 // fresh reports whether nothing came on a connection at rest: neither its end, which would lose the attempt, nor bytes
 // that would be taken for its answer. p.mu is held, and reads take it, so that what was read is known too.
 func (k *conn) fresh() bool {
@@ -457,7 +474,7 @@
 	res := p.result(r)
 	p.mu.Lock()
 	mine := k.call == c
-	k.call = nil
+	k.call, k.answered = nil, time.Now()
 	// What came behind an answer belongs to none.
 	keep := !r.Close && k.rd.Buffered() == 0 && !p.closed && k.s.State == decide.Serving && !k.dead && !k.rests
 	if keep {
--- a/upstream/http/pool_test.go
+++ b/upstream/http/pool_test.go
@@ -247,10 +247,12 @@
 		return wait(t, ch).Outcome
 	}
 	use("old")
+	time.Sleep(quietFor)
 	use("old")
 	if n := conns.Load(); n != 1 {
 		t.Errorf("%d connections for two requests, want 1", n)
 	}
+	time.Sleep(quietFor) // what rests now could be used
 	p.Take([]Server{{ID: "new", Addr: addr}}, true)
 	if got := use("old"); got != decide.NoConnection {
 		t.Errorf("a server that is gone: outcome %v, want %v", got, decide.NoConnection)
@@ -258,6 +260,7 @@
 	if use("new"); conns.Load() != 2 {
 		t.Errorf("the new server got a connection of the old one's")
 	}
+	time.Sleep(quietFor)
 	p.Take([]Server{{ID: "new", Addr: addr, Started: 5}}, false)
 	if use("new"); conns.Load() != 3 {
 		t.Errorf("a server that started anew got a connection of its former life")
