Peers know a gateway's new life that its wall clock numbered below the last one

Cause: lives are numbered by the wall clock; behind a step back by an hour a restarted gateway's datagrams were dropped as of an earlier life for an hour (peer window). Change: an earlier epoch is believed once the known life has been silent for 2 s; what was seen of the last four lives is kept, so that repeats of none are taken.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 	"encoding/binary"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,20 +63,49 @@
 	return h, string(body[headLen:]), true
 }
 
-// window tells new datagrams of one sender from repeated ones: the highest number seen and the 64 below it.
+const (
+	// lifeSilent is how long a sender's known life says nothing before an earlier epoch is believed: lives are numbered by
+	// the sender's wall clock, and one that started behind a step back has the smaller number.
+	lifeSilent = 2 * time.Second
+	livesKept  = 4 // of a sender, so that what was seen of one is known when it, or a copy of it, comes again
+)
+
+// sender tells new datagrams of one sender from repeated ones and from those of an earlier life.
+type sender struct {
+	lives []window // the one heard last is the last
+	heard time.Time
+}
+
+func (s *sender) fresh(epoch, seq uint64, now time.Time) bool {
+	if n := len(s.lives); n > 0 && epoch < s.lives[n-1].epoch && now.Sub(s.heard) < lifeSilent {
+		return false
+	}
+	w := window{epoch: epoch}
+	at := slices.IndexFunc(s.lives, func(l window) bool { return l.epoch == epoch })
+	if at >= 0 {
+		w = s.lives[at]
+	}
+	if !w.fresh(seq) {
+		return false
+	}
+	if at >= 0 {
+		s.lives = slices.Delete(s.lives, at, at+1)
+	}
+	if s.lives = append(s.lives, w); len(s.lives) > livesKept {
+		s.lives = slices.Delete(s.lives, 0, 1)
+	}
+	s.heard = now
+	return true
+}
+
+// window is what was seen of one life of a sender: the highest number and the 64 below it.
 type window struct {
 	epoch, top uint64
 	seen       uint64
 }
 
-func (w *window) fresh(epoch, seq uint64) bool {
-	switch {
-	case epoch < w.epoch:
-		return false // of an earlier life
-	case epoch > w.epoch:
-		*w = window{epoch, seq, 1}
-		return true
-	case seq > w.top:
+func (w *window) fresh(seq uint64) bool {
+	if seq > w.top {
 		if n := seq - w.top; n < 64 {
 			w.seen = w.seen<<n | 1
 		} else {
@@ -185,7 +215,7 @@
 
 // Serve reads until the socket is closed and hands on what may be taken.
 func (l *Link) Serve(take func(from int, text string)) {
-	seen := make([]window, len(l.addrs))
+	seen := make([]sender, len(l.addrs))
 	in := intake{rate: l.o.Intake, at: l.o.Now()}
 	buf := make([]byte, 2048)
 	for {
@@ -203,7 +233,7 @@
 			l.counts[cForged].Add(1)
 		case h.fleet != l.fleet || h.to != l.o.Rank || h.from >= len(seen) || h.from == l.o.Rank:
 			l.counts[cForeign].Add(1)
-		case !seen[h.from].fresh(h.epoch, h.seq):
+		case !seen[h.from].fresh(h.epoch, h.seq, l.o.Now()):
 			l.counts[cRepeated].Add(1)
 		case !in.take(l.o.Now()):
 			l.counts[cOver].Add(1)
