Answers are written until their request's time is over; told of outages now and then

Cause: what a client's socket did not take was given up 2 s behind the answer, also where the request's time ran on (writeFor): closed with no whole answer. While discovery could not be reached each try wrote a line.

--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -237,6 +237,22 @@
 	return c, nc
 }
 
+// An answer is written for as long as its request's time, and half a second more, run, to a client that is slow to read.
+func TestAClientThatReadsLateHasItsWholeAnswer(t *testing.T) {
+	const size = 32 << 20 // more than sockets hold
+	_, s, _ := start(t, 10)
+	c, nc := still(t, s)
+	s.mu.Lock()
+	c.due = s.clock() + writeFor + time.Second
+	c.to(active)
+	c.write(make([]byte, size), c.free)
+	s.mu.Unlock()
+	time.Sleep(writeFor + 300*time.Millisecond)
+	if n, err := io.CopyN(io.Discard, nc, size); err != nil {
+		t.Errorf("%d bytes of %d: %v", n, size, err)
+	}
+}
+
 // A request that waits unread as its connection's rest is over keeps the connection, as it does when the gateway stops;
 // one that comes behind the end is no request.
 func TestTheIdleTimeoutCrossesARequest(t *testing.T) {
--- a/front/http/conn.go
+++ b/front/http/conn.go
@@ -38,14 +38,15 @@
 
 	// s.mu guards the fields from here on.
 	phase     phase
-	begun     bool   // a byte of the request under way was read
-	open      string // the core's id of the open request; empty: none
-	txn       string // its X-Txn
-	last      bool   // the answer under way is the connection's last
-	gone      bool   // the client has left, or the connection broke
-	watches   bool   // the reader waits in watch and must be woken by an answer ...
-	woken     bool   // ... as it was, by a read deadline that it takes back
-	ended     bool   // its writing side is shut
+	begun     bool          // a byte of the request under way was read
+	open      string        // the core's id of the open request; empty: none
+	txn       string        // its X-Txn
+	due       time.Duration // its time is over; of the last request, where none is open
+	last      bool          // the answer under way is the connection's last
+	gone      bool          // the client has left, or the connection broke
+	watches   bool          // the reader waits in watch and must be woken by an answer ...
+	woken     bool          // ... as it was, by a read deadline that it takes back
+	ended     bool          // its writing side is shut
 	lingers   *list.Element
 	readAhead []chunk // came behind the open request
 	ahead     int     // bytes in readAhead
@@ -335,7 +336,7 @@
 	call.Form = func(_ int, left time.Duration) []byte { return p.form(left) }
 	call.Done = func(f front.Final) { c.done(call.ID, f) }
 	call.Left = func() bool { return c.left(call.ID) }
-	if err := c.opens(call.ID, p.txn, q.Close); err != nil {
+	if err := c.opens(call, p.txn, q.Close); err != nil {
 		c.reject(err)
 		return false
 	}
@@ -346,7 +347,7 @@
 
 // opens makes a request the connection's open one, or says why it can't be. A request that was read behind the
 // connection's end is none: its client was told that it ended, and asks again elsewhere.
-func (c *conn) opens(id, txn string, last bool) error {
+func (c *conn) opens(call *front.Call, txn string, last bool) error {
 	s := c.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -361,7 +362,8 @@
 		return fault(503, "too many requests are open")
 	}
 	s.ids[txn] = struct{}{}
-	c.open, c.txn, c.last, c.begun = id, txn, last || c.last, false
+	c.open, c.txn, c.due = call.ID, txn, call.Deadline
+	c.last, c.begun = last || c.last, false
 	c.to(active)
 	return nil
 }
--- a/front/http/end.go
+++ b/front/http/end.go
@@ -115,13 +115,14 @@
 	}
 	c.s.wg.Add(1)
 	c.writes.Add(1)
-	go c.writeRest(b[n:], then)
+	// An answer is owed until its request's time, and lateMost, are over.
+	go c.writeRest(b[n:], max(writeFor, c.due+lateMost-c.s.clock()), then)
 }
 
-func (c *conn) writeRest(b []byte, then func()) {
+func (c *conn) writeRest(b []byte, within time.Duration, then func()) {
 	defer c.s.wg.Done()
 	defer c.writes.Done()
-	err := sock.WriteAll(c.nc, b, writeFor)
+	err := sock.WriteAll(c.nc, b, within)
 	c.s.mu.Lock()
 	defer c.s.release()
 	if err != nil {
--- a/nodelist/registry/list.go
+++ b/nodelist/registry/list.go
@@ -35,7 +35,7 @@
 	targetsMost = 16 << 10
 	// valueMost bounds one entry, and the white space between two, in bytes.
 	valueMost = 64 << 10
-	uidMost   = 256
+	uidMost   = 1 << 10
 	// bootUnknown stands for a boot_ms that can't be read: some time that is not long ago.
 	bootUnknown = 1
 )
@@ -54,7 +54,7 @@
 // check reports the first field that can't be used.
 func (e *Entry) check() error {
 	if e.UID == "" || len(e.UID) > uidMost {
-		return &fault{"uid", e.UID, "1 to 256 bytes"}
+		return &fault{"uid", e.UID, fmt.Sprintf("1 to %d bytes", uidMost)}
 	}
 	if _, ok := states[e.State]; !ok {
 		return &fault{"state", e.State, "ready, draining or gone"}
--- a/nodelist/registry/registry_test.go
+++ b/nodelist/registry/registry_test.go
@@ -107,7 +107,7 @@
 // An entry that can't be used in part gets nothing new, and does not hide what the list tells of the others.
 func TestEntriesThatCantBeUsed(t *testing.T) {
 	for _, c := range []struct{ bad, state string }{ // "" stands for an entry that is left out
-		{entry("a", "asleep"), "draining"}, {entry("", "ready"), ""}, {entry(strings.Repeat("a", 257), "ready"), ""},
+		{entry("a", "asleep"), "draining"}, {entry("", "ready"), ""}, {entry(strings.Repeat("a", uidMost+1), "ready"), ""},
 		{`{"uid":"a","endpoint":"nowhere","state":"ready"}`, "draining"}, {`{"uid":"a","endpoint":"nowhere","state":"gone"}`, "gone"},
 		{`{"uid":"a","endpoint":"h:1","state":"ready","boot_ms":-1}`, "draining"}, {`{"uid":"a","endpoint":"h:1","state":"ready","boot_ms":"x"}`, "draining"},
 		{`{"uid":"a","endpoint":"h:1","state":"ready","capacity_hint":-1}`, "draining"}, {`{"uid":7,"endpoint":"h:1","state":"ready"}`, ""},
--- a/nodelist/registry/watch.go
+++ b/nodelist/registry/watch.go
@@ -24,6 +24,7 @@
 const (
 	callMost  = 10 * time.Second // of one call, with its connection
 	callsMost = 4                // at once
+	warnEvery = 5 * time.Second
 	// lookFor is the wait of a call that only asks what was missed.
 	lookFor = 100 * time.Millisecond
 )
@@ -115,6 +116,7 @@
 	open    []*call   // longest first
 	answers chan answer
 	next    *time.Timer // to begin another call
+	warned  time.Time   // of a failure; zero: not since the last answer
 	calls   sync.WaitGroup
 }
 
@@ -170,7 +172,7 @@
 func (f *follower) move(addr string) {
 	if addr != f.addr {
 		f.cancelAll()
-		f.addr, f.known = addr, false
+		f.addr, f.known, f.warned = addr, false, time.Time{}
 	}
 	f.failed = 0
 	f.hedge()
@@ -189,7 +191,7 @@
 		f.o.Log.Warn("entries of the list can't be used", "addr", f.addr, "entries", a.faults.n, "first", a.faults.first)
 	}
 	if err := f.fits(a); err != nil {
-		f.o.Log.Warn("the list can't be followed", "addr", f.addr, "err", err)
+		f.warn(err)
 		if a.conn != nil {
 			a.conn.nc.Close()
 		}
@@ -200,7 +202,7 @@
 	}
 	f.cancelAll()
 	news := !f.known || a.list.All || a.list.Rev != f.rev || len(a.list.Targets) > 0
-	f.known, f.rev, f.failed = true, a.list.Rev, 0
+	f.known, f.rev, f.failed, f.warned = true, a.list.Rev, 0, time.Time{}
 	// The next call first: what changes until it is there counts as told.
 	f.begin(question{from: f.rev, hold: f.o.Hold}, a.conn)
 	f.next.Reset(f.o.Hold + f.o.Silent)
@@ -211,6 +213,14 @@
 	}
 }
 
+// warn tells of a failure; one that goes on for long is told of now and then.
+func (f *follower) warn(err error) {
+	if time.Since(f.warned) > warnEvery {
+		f.warned = time.Now()
+		f.o.Log.Warn("the list can't be followed", "addr", f.addr, "err", err)
+	}
+}
+
 // fits reports why an answer can't be taken.
 func (f *follower) fits(a answer) error {
 	switch {
