--- a/link/link.go
+++ b/link/link.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"winghatch/sock"
 	"winghatch/ws"
 )
 
@@ -112,10 +113,11 @@
 func Dial(ctx context.Context, addr string, req *ws.Request, o Options) (*Conn, error) {
 	o = o.filled()
 	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	nc := sock.Patient(raw)
 	stop := context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })
 	br := bufio.NewReaderSize(nc, o.ReadBuffer)
 	if _, err = nc.Write(req.Bytes()); err == nil {
@@ -135,6 +137,7 @@
 // the caller's to write.
 func Accept(nc net.Conn, protocol string, within time.Duration, check func(*ws.Upgrade) error, o Options) (*Conn, error) {
 	o = o.filled()
+	nc = sock.Patient(nc)
 	br := bufio.NewReaderSize(nc, o.ReadBuffer)
 	nc.SetDeadline(time.Now().Add(within))
 	u, err := ws.ReadUpgrade(br)
--- a/nodelist/registry/call.go
+++ b/nodelist/registry/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"winghatch/http1"
+	"winghatch/sock"
 )
 
 // question is what a call asks discovery for.
@@ -51,6 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
+	nc = sock.Patient(nc)
 	return &agentConn{nc, http1.NewReader(bufio.NewReaderSize(nc, 4<<10), http1.Limits{Head: 8 << 10})}, nil
 }
 
--- a/sock/sock.go
+++ b/sock/sock.go
@@ -54,17 +54,10 @@
 
 // WriteAll writes all bytes within a time and waits for room. Errors that pass are waited for too.
 func WriteAll(nc net.Conn, b []byte, within time.Duration) error {
-	deadline := time.Now().Add(within)
-	nc.SetWriteDeadline(deadline)
+	nc.SetWriteDeadline(time.Now().Add(within))
 	defer nc.SetWriteDeadline(time.Time{})
-	for {
-		n, err := nc.Write(b)
-		b = b[n:]
-		if err == nil || !Transient(err) || time.Now().After(deadline) {
-			return err
-		}
-		time.Sleep(RetryPause)
-	}
+	_, err := Patient(nc).Write(b)
+	return err
 }
 
 // ReadNow reads what has come without waiting; with nothing there err is syscall.EAGAIN.
@@ -77,6 +70,31 @@
 	}
 }
 
+// Patient wraps a connection whose reads and writes try again what fails for a moment.
+func Patient(nc net.Conn) net.Conn { return patient{nc} }
+
+type patient struct{ net.Conn }
+
+func (p patient) Read(b []byte) (int, error) {
+	for {
+		n, err := p.Conn.Read(b)
+		if n > 0 || err == nil || !Transient(err) {
+			return n, err
+		}
+		time.Sleep(RetryPause)
+	}
+}
+
+func (p patient) Write(b []byte) (int, error) {
+	for done := 0; ; {
+		n, err := p.Conn.Write(b[done:])
+		if done += n; err == nil || !Transient(err) {
+			return done, err
+		}
+		time.Sleep(RetryPause)
+	}
+}
+
 // Peek looks at a socket without taking anything: whether bytes wait in it, and whether the other side has ended it, also
 // behind bytes that wait.
 func Peek(raw syscall.RawConn) (unread, ended bool) {
