A log that nobody reads neither ends nor holds up the gateway

Cause: a write to a log whose reader had gone ended the process by SIGPIPE; one to a full pipe stood still, and with it whoever logged: the process did not end within 5 s of SIGTERM. Change: SIGPIPE is ignored, lines wait in a bounded queue (LogWriter) and are dropped and counted beyond it. The pause behind failed calls to discovery grows from 0.1 to 0.4 s.

--- a/cmd/winghatch/serve.go
+++ b/cmd/winghatch/serve.go
@@ -20,7 +20,8 @@
 	if c.Debug {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	out := platform.NewLogWriter(os.Stderr)
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	cfg, err := platform.Load(c.Config)
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
@@ -31,5 +32,6 @@
 		return fmt.Errorf("serve: %w", err)
 	}
 	g.Wait(c.Config, signals)
+	out.Close()
 	return nil
 }
--- a/nodelist/registry/watch.go
+++ b/nodelist/registry/watch.go
@@ -16,14 +16,15 @@
 	Log  *slog.Logger
 
 	// Hold is how long a watch waits for news; Silent how much longer its answer may take, and Patience how long that of a
-	// call that owes no wait, before another call is begun beside it; Again the pause after a failure. Zeroes stand for 2 s,
+	// call that owes no wait, before another call is begun beside it; Again the pause after a failure, which grows to againMost. Zeroes stand for 2 s,
 	// 500 ms, 750 ms and 100 ms. See MaxStaleness.
 	Hold, Silent, Patience, Again time.Duration
 }
 
 const (
-	callMost  = 10 * time.Second // of one call, with its connection
-	callsMost = 4                // at once
+	callMost  = 10 * time.Second       // of one call, with its connection
+	callsMost = 4                      // at once
+	againMost = 400 * time.Millisecond // the pause behind failures grows to this
 	warnEvery = 5 * time.Second
 	// lookFor is the wait of a call that only asks what was missed.
 	lookFor = 100 * time.Millisecond
@@ -77,7 +78,7 @@
 
 // Run follows until the context ends.
 func (w *Watch) Run(ctx context.Context) {
-	f := &follower{o: w.o, ctx: ctx, answers: make(chan answer)}
+	f := &follower{o: w.o, ctx: ctx, answers: make(chan answer), pause: w.o.Again}
 	defer f.calls.Wait()
 	defer f.cancelAll()
 	w.mu.Lock()
@@ -111,9 +112,10 @@
 	addr    string
 	known   bool // a list was taken from this address
 	rev     uint64
-	heard   time.Time // the last answer came
-	failed  int       // calls begun since the last answer, beyond the one that it led to
-	open    []*call   // longest first
+	heard   time.Time     // the last answer came
+	failed  int           // calls begun since the last answer, beyond the one that it led to
+	pause   time.Duration // behind the next failure
+	open    []*call       // longest first
 	answers chan answer
 	next    *time.Timer // to begin another call
 	warned  time.Time   // of a failure; zero: not since the last answer
@@ -172,6 +174,7 @@
 func (f *follower) move(addr string) {
 	if addr != f.addr {
 		f.cancelAll()
+		f.pause = f.o.Again
 		f.addr, f.known, f.warned = addr, false, time.Time{}
 	}
 	f.failed = 0
@@ -195,13 +198,15 @@
 		if a.conn != nil {
 			a.conn.nc.Close()
 		}
-		if len(f.open) == 0 {
-			f.next.Reset(f.o.Again)
+		if len(f.open) == 0 { // a crowded discovery is not helped by calls in a row
+			f.next.Reset(f.pause)
+			f.pause = min(2*f.pause, max(againMost, f.o.Again))
 		}
 		return
 	}
 	f.cancelAll()
 	news := !f.known || a.list.All || a.list.Rev != f.rev || len(a.list.Targets) > 0
+	f.pause = f.o.Again
 	f.known, f.rev, f.failed, f.warned = true, a.list.Rev, 0, time.Time{}
 	// The next call first: what changes until it is there counts as told.
 	f.begin(question{from: f.rev, hold: f.o.Hold}, a.conn)
