Ended connections linger while descriptors last, and the longest gives way

Cause: beyond a quarter of the connections each that ended was shut both ways at once (halfClose), which over unread bytes resets it and may take the answer just written. Change: those that linger share what seats leave; where that is too many the one that lingered longest is cut. Test: TestLingeringIsBounded wants all of 15 to linger, where 5 of 20 might, and the sum within 20.

--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -298,30 +298,51 @@
 	}
 }
 
-// However many are ended at once, only some linger, and each is closed.
+// All that are ended at once linger, as long as new ones leave room; then those that lingered longest give way, and the number
+// of connections stays bounded.
 func TestLingeringIsBounded(t *testing.T) {
-	_, s, addr := start(t, 40)
-	var all []*client
-	for range 30 {
-		all = append(all, dial(t, addr))
+	const most, seats = 20, 15
+	_, s, addr := start(t, most)
+	dialAll := func() (all []*client) {
+		for range seats {
+			all = append(all, dial(t, addr))
+		}
+		return all
+	}
+	held := func() (lingering, seated int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lingering.Len(), s.limit.Len()
 	}
-	until(t, "all are held", func() bool { return s.Conns.Load() == 30 })
+	first := dialAll()
+	until(t, "all are held", func() bool { return s.Conns.Load() == seats })
 	s.mu.Lock()
 	for _, c := range s.conns {
 		c.turnAway(503, "")
 	}
-	if s.lingering.Len() != s.lingeringMost {
-		t.Errorf("%d linger, want %d", s.lingering.Len(), s.lingeringMost)
+	if n := s.lingering.Len(); n != seats {
+		t.Errorf("%d linger, want all %d", n, seats)
 	}
 	s.release()
-	for _, c := range all {
+	second := dialAll()
+	until(t, "the second are held", func() bool {
+		lingering, seated := held()
+		if lingering+seated > most {
+			t.Errorf("%d linger and %d are held, want %d at most in sum", lingering, seated, most)
+		}
+		return seated == seats
+	})
+	for _, c := range first {
 		if status, _, _ := c.read(); status != 0 {
 			t.Errorf("%d, want the end of the connection", status)
 		}
 	}
+	for _, c := range second {
+		c.nc.Close()
+	}
 	until(t, "all are closed", func() bool { return s.Conns.Load() == 0 })
-	if s.lingering.Len() != 0 || s.limit.Len() != 0 {
-		t.Errorf("%d linger and %d seats are held, want none", s.lingering.Len(), s.limit.Len())
+	if lingering, seated := held(); lingering != 0 || seated != 0 {
+		t.Errorf("%d linger and %d seats are held, want none", lingering, seated)
 	}
 }
 
--- a/front/http/end.go
+++ b/front/http/end.go
@@ -23,8 +23,7 @@
 	c.write(appendAnswer(nil, status, "", why+"\n", true), c.halfClose)
 }
 
-// halfClose shuts the writing side behind what was written; the reader drops what still comes, and closes. Where too many
-// connections linger so, the one that has lingered longest is cut; release closes it. s.mu is held.
+// halfClose shuts the writing side behind what was written; the reader drops what still comes, and closes. s.mu is held.
 func (c *conn) halfClose() {
 	if c.ended {
 		return
@@ -32,15 +31,21 @@
 	c.ended = true
 	c.to(closing)
 	s := c.s
-	if s.lingering.Len() >= s.lingeringMost {
+	c.lingers = s.lingering.PushBack(c)
+	s.cutLingering()
+	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+}
+
+// cutLingering keeps the connections within their number: those that have lingered longest are cut, and release closes them.
+// s.mu is held.
+func (s *Server) cutLingering() {
+	for s.lingering.Len() > 0 && s.lingering.Len()+s.limit.Len() > s.most {
 		eldest := s.lingering.Front().Value.(*conn)
 		eldest.lingersNoMore()
 		eldest.abort()
 		s.cut = append(s.cut, eldest)
 	}
-	c.lingers = s.lingering.PushBack(c)
-	c.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
-	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
 }
 
 // lingersNoMore takes a connection out of those that linger; s.mu is held.
--- a/front/http/server.go
+++ b/front/http/server.go
@@ -32,7 +32,7 @@
 	lingerMost  = 256 << 10
 	lookEvery   = 50 * time.Millisecond  // at a client whose bytes are not read on
 	lingerFor   = 300 * time.Millisecond // for a client to read what was written last, and to close
-	lingerPart  = 4                      // of the connections, one part may linger; beyond it they are closed at once
+	lingerPart  = 4                      // of the connections, one part is for those that linger alone
 	writeFor    = 2 * time.Second        // for a client to take an answer that its socket\'s buffer did not, at least
 	lateMost    = 500 * time.Millisecond // behind its time a request may still be answered
 	acceptPause = 10 * time.Millisecond
@@ -61,28 +61,28 @@
 
 	// One lock guards what the server and its connections hold: a read, the choice of a connection to close and the
 	// write of an answer are then never in the midst of each other. No system call under it waits.
-	mu            sync.Mutex
-	limit         *connlimit.Limiter
-	conns         map[connlimit.ID]*conn
-	ids           map[string]struct{} // X-Txn of open requests
-	next          connlimit.ID
-	lingering     *list.List // connections that are shut and not closed yet, longest first
-	cut           []*conn    // of those, the ones that release is to close
-	lingeringMost int        // as many at most
-	bodies        int64
-	bodyRoom      int64
-	draining      bool // answers say that their connection ends
-	stopping      bool // no request is taken any more
-	closed        bool
-	wg            sync.WaitGroup
-	quit          chan struct{}
+	mu        sync.Mutex
+	limit     *connlimit.Limiter
+	most      int // connections, those that linger among them
+	conns     map[connlimit.ID]*conn
+	ids       map[string]struct{} // X-Txn of open requests
+	next      connlimit.ID
+	lingering *list.List // connections that are shut and not closed yet, longest first
+	cut       []*conn    // of those, the ones that release is to close
+	bodies    int64
+	bodyRoom  int64
+	draining  bool // answers say that their connection ends
+	stopping  bool // no request is taken any more
+	closed    bool
+	wg        sync.WaitGroup
+	quit      chan struct{}
 }
 
 // New returns a front. ready tells whether the gateway can serve.
 func New(rules *Rules, core front.Core, o Options, clock func() time.Duration, ready func() bool, log *slog.Logger) *Server {
-	lingeringMost := max(1, o.Conns/lingerPart)
-	return &Server{rules: rules, core: core, clock: clock, log: log, ready: ready, limit: connlimit.New(max(1, o.Conns-lingeringMost)),
-		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, lingering: list.New(), lingeringMost: lingeringMost, bodyRoom: o.Bodies, quit: make(chan struct{})}
+	most := max(2, o.Conns)
+	return &Server{rules: rules, core: core, clock: clock, log: log, ready: ready, limit: connlimit.New(most - max(1, most/lingerPart)),
+		conns: map[connlimit.ID]*conn{}, ids: map[string]struct{}{}, most: most, lingering: list.New(), bodyRoom: o.Bodies, quit: make(chan struct{})}
 }
 
 // Serve accepts until the listener is closed, or its deadline has come and no connection waits to be accepted.
@@ -137,6 +137,7 @@
 		s.Evicted.Add(1)
 		s.conns[out].turnAway(503, "too many connections")
 	}
+	s.cutLingering()
 	c := newConn(s, id, nc, raw)
 	s.conns[id] = c
 	s.wg.Add(1)
