A request read behind an open one is answered as the gateway stops

Cause: while stopping, the open request's answer ended its connection (done), and what had been read behind it was closed with no answer. Change: an answer ends the connection only with nothing read behind it. Test: TestARequestBehindAnotherWhenTheGatewayStopsIsAnswered, which the text before fails.

--- a/front/http/answer.go
+++ b/front/http/answer.go
@@ -61,7 +61,7 @@
 	}
 	delete(s.ids, c.txn)
 	c.open, c.txn = "", ""
-	c.last = c.last || s.draining
+	c.last = c.last || s.draining && !c.begun // what was read behind it is owed an answer too
 	c.write(finalBytes(f, c.last), c.free)
 }
 
--- a/front/http/close_test.go
+++ b/front/http/close_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// A request that was read behind an open one is answered too as the gateway stops, and its answer ends the connection.
+func TestARequestBehindAnotherWhenTheGatewayStopsIsAnswered(t *testing.T) {
+	core, s, addr := start(t, 10)
+	c := dial(t, addr).send(usual("POST /api") + "abc" + usual("POST /api", "X-Txn: t2") + "abc")
+	first := <-core.came
+	s.Drain()
+	for i, call := range []*front.Call{first, nil} {
+		if call == nil {
+			call = <-core.came
+		}
+		call.Done(front.Final{Kind: front.Served, Body: []byte("x")})
+		if status, _, h := c.read(); status != 200 || (h.Get("Connection") == "close") != (i == 1) {
+			t.Errorf("answer %d: %d, Connection %q, want 200 and close with the last", i, status, h.Get("Connection"))
+		}
+	}
+}
+
 // To close over unread bytes resets the connection, and what the client has not been sent yet is lost with it.
 func TestTheTailOfTheLastAnswerIsNotLost(t *testing.T) {
 	core, _, addr := start(t, 10)
--- a/front/http/conn.go
+++ b/front/http/conn.go
@@ -38,7 +38,7 @@
 
 	// s.mu guards the fields from here on.
 	phase     phase
-	begun     bool          // a byte of the request under way was read
+	begun     bool          // a byte of the request under way was read; while one is open, of the next
 	open      string        // the core's id of the open request; empty: none
 	txn       string        // its X-Txn
 	due       time.Duration // its time is over; of the last request, where none is open
@@ -363,7 +363,7 @@
 	}
 	s.ids[txn] = struct{}{}
 	c.open, c.txn, c.due = call.ID, txn, call.Deadline
-	c.last, c.begun = last || c.last, false
+	c.last, c.begun = last || c.last, c.rd.Buffered() > 0 || c.ahead > 0
 	c.to(active)
 	return nil
 }
--- a/front/http/server.go
+++ b/front/http/server.go
@@ -33,7 +33,7 @@
 	lookEvery   = 50 * time.Millisecond  // at a client whose bytes are not read on
 	lingerFor   = 300 * time.Millisecond // for a client to read what was written last, and to close
 	lingerPart  = 4                      // of the connections, one part is for those that linger alone
-	writeFor    = 2 * time.Second        // for a client to take an answer that its socket\'s buffer did not, at least
+	writeFor    = 2 * time.Second        // for a client to take an answer that its socket's buffer did not, at least
 	lateMost    = 500 * time.Millisecond // behind its time a request may still be answered
 	acceptPause = 10 * time.Millisecond
 	sweepEvery  = 200 * time.Millisecond
