Add review case 2: customers who come once fill a gateway's memory

Cause: a gateway looks at no more than four customers at each heartbeat to remove idle ones, 43 a second with four gateways, while the customers of all four come to each of them by gossip.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,8 @@
 
 // cases has the cases by name. A case returns how often the rule was broken.
 var cases = map[string]func(c *play) (broken int, err error){
-	"silent": playSilent,
+	"silent":    playSilent,
+	"customers": playCustomers,
 }
 
 // play is what a case gets.
