--- a/review/standin/silent.go
+++ b/review/standin/silent.go
@@ -15,7 +15,7 @@
 func playSilent(p *play) (broken int, err error) {
 	// Each figure is within what the pages state.
 	const (
-		memoryMB = 48  // "32 to 192 MB"
+		memoryMB = 32  // "32 to 192 MB"
 		sockets  = 256 // "256 to 1,024 descriptors"
 		silent   = 300 // clients that "connect by hundreds and say nothing"
 
