--- a/review/standin/customers.go
+++ b/review/standin/customers.go
@@ -45,5 +45,10 @@
 	broken, err = d.watch(length)
 	stopped.Store(true)
 	clients.Wait()
+	asked := int64(gateways * rate * length.Seconds())
+	p.rec.say("%d requests answered", p.answered.Load())
+	if broken == 0 && err == nil && p.answered.Load() < asked*9/10 {
+		err = fmt.Errorf("%d requests were answered in the whole time, the case wants %d", p.answered.Load(), asked)
+	}
 	return broken, err
 }
