Read the periodic status without copying the state of all customers

Cause: LoopSummary, read every 5 s for the line `Status`, took three figures from Status, which copies the state of every customer. Change: decide.Summary has the figures that are cheap to read, and the line takes them from it. It also has `customers` and `gossip_queue`: no figure said so far what fills the memory. The tables are the other half of the fault and are still unbounded with this commit. Test: TestSummaryDoesNotCopyCustomers failed before ("Summary called Status of the core 1 times, want 0"); TestSummaryAllocatesNothing.

--- a/bench/passthrough.go
+++ b/bench/passthrough.go
@@ -36,3 +36,6 @@
 func (c *passthroughCore) Status() decide.Status {
 	return decide.Status{Servers: make([]decide.ServerStatus, len(c.servers))}
 }
+
+// Summary returns no figures, because this core keeps no state.
+func (c *passthroughCore) Summary() decide.Summary { return decide.Summary{} }
--- a/decide/status.go
+++ b/decide/status.go
@@ -2,6 +2,34 @@
 
 import "time"
 
+// Summary holds the figures of a gateway that are cheap to read, for operators. No decision depends on it.
+type Summary struct {
+	// OpenRequests, Pressure and RetryBudget have the same meaning as in [Status].
+	OpenRequests int
+	Pressure     float64
+	RetryBudget  float64
+	Customers    int // customers whose state is kept
+	// GossipQueue is the number of gossip entries that wait to be sent, over all peers.
+	GossipQueue int
+}
+
+// Summary returns the figures after the last event. Unlike [Gateway.Status], it copies no state of servers and
+// customers, so callers may use it often. It must not be called concurrently with Handle.
+func (g *Gateway) Summary() Summary {
+	s := Summary{
+		OpenRequests: len(g.requests),
+		RetryBudget:  g.retryBudget.tokens,
+		Customers:    len(g.customers.byKey),
+	}
+	for i := range g.gossip.peers {
+		s.GossipQueue += len(g.gossip.peers[i].pending)
+	}
+	if g.started && g.endpoints.totals.serving > 0 { // with no server, no work is allowed
+		s.Pressure = g.queueingPressure()
+	}
+	return s
+}
+
 // Status is a snapshot of a gateway's state for operators. No decision depends on it.
 type Status struct {
 	// FullGossip reports that customers have no owner gateways: either all gateways exchange gossip with
@@ -67,10 +95,12 @@
 
 // Status returns the state after the last event. It must not be called concurrently with Handle.
 func (g *Gateway) Status() Status {
+	summary := g.Summary()
 	st := Status{
 		FullGossip:         g.gossip.full,
-		OpenRequests:       len(g.requests),
-		RetryBudget:        g.retryBudget.tokens,
+		OpenRequests:       summary.OpenRequests,
+		Pressure:           summary.Pressure,
+		RetryBudget:        summary.RetryBudget,
 		Servers:            g.serverStatus(),
 		Customers:          g.customerStatus(),
 		Peers:              g.peerStatus(),
@@ -79,9 +109,6 @@
 	if g.stallEndedAt > 0 {
 		st.LastStall = g.stallDuration
 	}
-	if g.started && g.endpoints.totals.serving > 0 { // with no server, no work is allowed
-		st.Pressure = g.queueingPressure()
-	}
 	return st
 }
 
--- a/internal/gateway/attempts_test.go
+++ b/internal/gateway/attempts_test.go
@@ -38,7 +38,8 @@
 	}
 	return nil
 }
-func (sendingCore) Status() decide.Status { return decide.Status{} }
+func (sendingCore) Status() decide.Status   { return decide.Status{} }
+func (sendingCore) Summary() decide.Summary { return decide.Summary{} }
 
 // TestAttemptParamsAreBuiltAtWrite guards against servers that are told an outdated remaining time, and
 // against attempts that are written too late. Both can happen because connecting takes time between the
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -41,6 +41,7 @@
 type Core interface {
 	Handle(now time.Duration, ev decide.Event) []decide.Action
 	Status() decide.Status
+	Summary() decide.Summary
 }
 
 // TestHooks are hooks that make a gateway misbehave on purpose, so that tests can check whether package
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -128,10 +128,9 @@
 
 // LoopSummary is the summary of a loop that package platform logs periodically.
 type LoopSummary struct {
-	Rejected    map[string]int64 // rejected requests by reason, since the start
-	Outcomes    map[string]int64 // ended attempts by outcome, since the start
-	Pressure    float64          // see decide.Status
-	RetryBudget float64          // see decide.Status
+	Core     decide.Summary
+	Rejected map[string]int64 // rejected requests by reason, since the start
+	Outcomes map[string]int64 // ended attempts by outcome, since the start
 	// OpenRequests counts the requests without a final answer and those with attempts in flight.
 	OpenRequests int
 	// TimerLag is the longest delay of a timer since the last summary. A large value means that the process
@@ -144,12 +143,10 @@
 // Summary returns a summary and resets TimerLag and LongestTurn.
 func (l *Loop) Summary() (s LoopSummary) {
 	l.Do(func() {
-		status := l.core.Status()
 		s = LoopSummary{
+			Core:         l.core.Summary(),
 			Rejected:     maps.Clone(l.rejections),
 			Outcomes:     maps.Clone(l.outcomes),
-			Pressure:     status.Pressure,
-			RetryBudget:  status.RetryBudget,
 			OpenRequests: len(l.requests),
 			TimerLag:     l.timerLag,
 			LongestTurn:  l.longestTurn,
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -65,9 +65,11 @@
 		"late_responses", g.loop.LateResponses.Load(),
 		"timer_lag", summary.TimerLag,
 		"longest_turn", summary.LongestTurn,
-		"pressure", summary.Pressure,
-		"retry_budget", summary.RetryBudget,
+		"pressure", summary.Core.Pressure,
+		"retry_budget", summary.Core.RetryBudget,
 		"held", summary.OpenRequests,
+		"customers", summary.Core.Customers,
+		"gossip_queue", summary.Core.GossipQueue,
 	}
 }
 
