Bound the customers that a gateway keeps, and grant nobody units by forgetting them

Evidence: heap profile on a scratch copy, 97 % of the live bytes in findOrAddCustomer, 2,614 customers after 5 s and 26,487 after 55 s. Change: the table has a limit, an eighth of the memory limit over the most that a customer takes (Config.CustomerBytes). At the limit the customers used least recently are evicted; idle ones are found in order of use, however many come. How long the buckets of removed customers still leak stays in 8,192 slots (removedBuckets): who shares a slot shares the longest time, so memory is fixed and nobody finds a bucket emptier than he left it. Totals of a peer count for 10 s without a report; for 12 s after an entry was sent its customer is kept, so that totals that begin at 0 again are never compared with old ones. Entries that wait for a peer are bounded by what can be sent in 5 s. Bound: an eighth of the limit, 4 MiB of 32; customers that must be kept can exceed it where peers are told of more: 640 entries a second for 12 s and 5 s of waiting ones, 10,880 customers at any number of gateways.

--- a/decide/admission.go
+++ b/decide/admission.go
@@ -89,7 +89,7 @@
 	}
 	usefulUntil := g.usefulUntil(k, e)
 	c := g.findOrAddCustomer(hashKey(e.Customer), planIndex)
-	c.setGateways(e.FirstGateway, e.GatewayCount, g.cfg.Gateways)
+	g.setGateways(c, e.FirstGateway, e.GatewayCount)
 	r := &request{
 		Request:      e,
 		class:        k,
@@ -100,6 +100,7 @@
 		rejectReason: ReasonOverQuota,
 	}
 	g.requests[e.ID] = r
+	c.openRequests++
 	switch {
 	case r.usefulUntil <= g.now && e.IsRetry:
 		// No time is left. The retry is rejected before it counts as demand or loads an owner.
--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -148,5 +148,6 @@
 	if r.finished && r.inFlight == 0 && g.requests[r.ID] != nil {
 		g.releaseGrant(r)
 		delete(g.requests, r.ID)
+		r.customer.openRequests--
 	}
 }
--- a/decide/cluster_test.go
+++ b/decide/cluster_test.go
@@ -100,18 +100,23 @@
 			c.handle(i, Request{ID: id, Class: "get", Plan: plan, Customer: "x", Units: units,
 				Deadline: c.now + 2*time.Second, GatewayCount: len(c.gateways)})
 		}
-		for next := c.now + gap; c.now < next; c.now += 4 * ms {
-			var ready []delivery
-			c.pending = filterDeliveries(c.pending, func(l delivery) bool {
-				if l.at <= c.now {
-					ready = append(ready, l)
-				}
-				return l.at > c.now
-			})
-			for _, l := range ready {
-				if !c.down[l.to] {
-					c.handle(l.to, l.ev)
-				}
+		c.wait(gap)
+	}
+}
+
+// wait advances the time by d without requests.
+func (c *cluster) wait(d time.Duration) {
+	for end := c.now + d; c.now < end; c.now += 4 * ms {
+		var ready []delivery
+		c.pending = filterDeliveries(c.pending, func(l delivery) bool {
+			if l.at <= c.now {
+				ready = append(ready, l)
+			}
+			return l.at > c.now
+		})
+		for _, l := range ready {
+			if !c.down[l.to] {
+				c.handle(l.to, l.ev)
 			}
 		}
 	}
--- a/decide/config.go
+++ b/decide/config.go
@@ -106,8 +106,12 @@
 	MaxUnits          float64       // largest number of units of a request
 	UsageReportPeriod time.Duration // period covered by AttemptEnded.ReportedUsage; 0: there are no reports
 	GossipCapacity    float64       // datagrams per second that a gateway can receive
-	Limits            Limits
-	Safety            Safety
+	// MaxCustomers is the number of customers whose state a gateway keeps. Beyond it, the state of those that
+	// were used least recently is removed, without granting them units. See [Config.CustomerBytes] for the
+	// memory that it takes. 0 means [DefaultMaxCustomers].
+	MaxCustomers int
+	Limits       Limits
+	Safety       Safety
 }
 
 // SettingError reports a setting that is not valid.
@@ -141,6 +145,9 @@
 	if c.Safety.SlowStartDuration > 0 && c.Safety.OverloadWindow <= 0 {
 		return invalid("Safety.OverloadWindow", "is %v, want more than 0", c.Safety.OverloadWindow)
 	}
+	if c.MaxCustomers < 0 {
+		return invalid("MaxCustomers", "is %d, want 0 or more", c.MaxCustomers)
+	}
 	err := checkNumbers("", []setting{
 		{"Safety.SlowStartCapacity", c.Safety.SlowStartCapacity},
 		{"Safety.OverloadMultiple", c.Safety.OverloadMultiple},
--- a/decide/customers.go
+++ b/decide/customers.go
@@ -1,17 +1,11 @@
 package decide
 
 import (
-	"slices"
+	"cmp"
+	"iter"
 	"time"
 )
 
-// customerIdleTimeout is the time after which an idle customer is removed. It must be long enough for each
-// bucket to have leaked completely and each ceiling to have refilled.
-const customerIdleTimeout = time.Minute
-
-// idleChecksPerHeartbeat bounds the work of removing idle customers.
-const idleChecksPerHeartbeat = 4
-
 // customer is the state of a customer from which this gateway has received a request, or about which it has
 // received gossip or a grant message.
 type customer struct {
@@ -22,8 +16,10 @@
 	// The gateways through which the customer's requests come: rank of the first, and number.
 	firstGateway, gatewayCount int
 
-	lastUsed time.Duration // time of the last request, gossip entry or grant message
-	inFlight int           // attempts of this gateway in flight
+	lastUsed     time.Duration // time of the last request, gossip entry or grant message
+	older, newer *customer     // neighbors in customerList
+	openRequests int           // requests in Gateway.requests
+	inFlight     int           // attempts of this gateway in flight
 
 	bucket      bucket
 	demand      demand
@@ -39,41 +35,96 @@
 	planIndex int
 }
 
-// customerTable holds the known customers and their plans.
+// customerTable holds the known customers and their plans. Customers that are idle, or for which there is no
+// room, are removed; see eviction.go.
 type customerTable struct {
-	byKey map[uint64]*customer
-	order []*customer // all customers; dropIdle checks the first one next and moves it to the end
+	byKey     map[uint64]*customer
+	list      customerList // all customers
+	max       int          // number of customers beyond which the least recently used ones are evicted
+	evictions int64        // customers removed for lack of room
+	removed   removedBuckets
 	// overrides holds the plans that PlanChange events assigned, by customer key.
 	overrides map[uint64]*planOverride
 
 	planIndexByName map[string]int // index in Config.Plans by name
 }
 
-func newCustomerTable(plans []Plan) customerTable {
+func newCustomerTable(cfg *Config) customerTable {
 	t := customerTable{
 		byKey:           map[uint64]*customer{},
+		max:             cmp.Or(cfg.MaxCustomers, DefaultMaxCustomers),
 		overrides:       map[uint64]*planOverride{},
 		planIndexByName: map[string]int{},
 	}
-	for i, p := range plans {
+	for i, p := range cfg.Plans {
 		t.planIndexByName[p.Name] = i
 	}
 	return t
 }
 
+// customerList is a doubly linked list of customers, ordered by their last use.
+type customerList struct{ oldest, newest *customer }
+
+// add adds a customer as the one that was used last.
+func (l *customerList) add(c *customer) {
+	c.older, c.newer = l.newest, nil
+	if l.newest != nil {
+		l.newest.newer = c
+	} else {
+		l.oldest = c
+	}
+	l.newest = c
+}
+
+// remove removes a customer from the list.
+func (l *customerList) remove(c *customer) {
+	if c.older != nil {
+		c.older.newer = c.newer
+	} else {
+		l.oldest = c.newer
+	}
+	if c.newer != nil {
+		c.newer.older = c.older
+	} else {
+		l.newest = c.older
+	}
+	c.older, c.newer = nil, nil
+}
+
+// moveToNewest makes a customer the one that was used last.
+func (l *customerList) moveToNewest(c *customer) {
+	if l.newest != c {
+		l.remove(c)
+		l.add(c)
+	}
+}
+
+// fromNewest iterates over the customers, beginning with the one that was used last.
+func (l *customerList) fromNewest() iter.Seq[*customer] {
+	return func(yield func(*customer) bool) {
+		for c := l.newest; c != nil; c = c.older {
+			if !yield(c) {
+				return
+			}
+		}
+	}
+}
+
 // findOrAddCustomer returns the customer with the key. A new customer is put on the plan with the index
 // planIndex, unless a PlanChange has assigned another one.
 func (g *Gateway) findOrAddCustomer(key uint64, planIndex int) *customer {
 	if c := g.customers.byKey[key]; c != nil {
 		c.lastUsed = g.now
+		g.customers.list.moveToNewest(c)
 		return c
 	}
+	g.evictCustomers()
 	plan := &g.cfg.Plans[planIndex]
 	if o := g.customers.overrides[key]; o != nil {
 		plan, planIndex = &o.Plan, o.planIndex
 	}
 	c := &customer{key: key, plan: plan, planIndex: planIndex, gatewayCount: g.cfg.Gateways, lastUsed: g.now}
-	c.gossip = newCustomerGossip(len(g.gossip.peers))
+	c.gossip.sentAt = -reportRetention // before any possible entry
 	c.usage = newUsage()
 	c.ownerReport.repliedAt = -rateTimeConstant // before any possible reply
 	// The bucket leaks, and its ceiling tokens grow from 0, from the start of this gateway on.
@@ -83,14 +134,16 @@
 		c.bucket.fleetLevel = g.initialFleetLevel(c)
 	}
 	c.bucket.level = c.bucket.share * initialLevel * plan.Burst
+	g.restoreBucket(c)
 	g.customers.byKey[key] = c
-	g.customers.order = append(g.customers.order, c)
+	g.customers.list.add(c)
 	return c
 }
 
 // setGateways sets the gateways through which the customer's requests come, as stated by a request. A set
 // that is empty or larger than the fleet is ignored.
-func (c *customer) setGateways(first, count, fleet int) {
+func (g *Gateway) setGateways(c *customer, first, count int) {
+	fleet := g.cfg.Gateways
 	if count <= 0 || count > fleet || (c.gatewayCount == count && c.firstGateway == first) {
 		return
 	}
@@ -121,11 +174,13 @@
 	}
 	key := hashKey(e.Customer)
 	override := &planOverride{e.Plan, planIndex}
-	g.customers.overrides[key] = override
 	c := g.customers.byKey[key]
 	if c == nil {
+		g.changePlanOfRemoved(key, &override.Plan)
+		g.customers.overrides[key] = override
 		return
 	}
+	g.customers.overrides[key] = override
 	g.refresh(c) // apply the old plan up to now
 	hadRate := c.plan.Rate > 0
 	c.plan, c.planIndex = &override.Plan, planIndex
@@ -138,18 +193,3 @@
 	b.fleetLevel = max(0, b.fleetLevel-e.ReturnedUnits)
 	g.refresh(c)
 }
-
-// dropIdle removes customers that have been idle for customerIdleTimeout and about which no gossip entry is
-// queued. Each call checks only the next few customers.
-func (t *customerTable) dropIdle(now time.Duration) {
-	for n := 0; n < idleChecksPerHeartbeat && len(t.order) > 0; n++ {
-		c := t.order[0]
-		t.order = t.order[1:]
-		idle := c.inFlight == 0 && now-c.lastUsed > customerIdleTimeout
-		if idle && !slices.Contains(c.gossip.queuedFor, true) {
-			delete(t.byKey, c.key)
-			continue
-		}
-		t.order = append(t.order, c)
-	}
-}
--- a/decide/demandshare.go
+++ b/decide/demandshare.go
@@ -81,7 +81,10 @@
 		if i == g.cfg.Rank || !g.servesCustomer(c, i) {
 			continue
 		}
-		total += c.gossip.totals[i].demandRate.perSecond(g.now) + prior
+		if t := c.gossip.findReport(i); t != nil {
+			total += t.demandRate.perSecond(g.now)
+		}
+		total += prior
 		p := &g.gossip.peers[i]
 		reportedUpTo = min(reportedUpTo, p.lastReceived)
 		if !p.known {
--- a/decide/doc.go
+++ b/decide/doc.go
@@ -63,6 +63,7 @@
 //   - admission.go: admission of requests and load shedding
 //   - attempt.go: the lifecycle of a request from its first attempt to its final answer
 //   - demandshare.go and usagereport.go: the share of a customer's quota that this gateway may use
+//   - eviction.go: which customers are forgotten, and what is kept of them
 //   - gossip.go: the totals that gateways exchange
 //   - latency.go and outlier.go: latency and failures of the servers
 //   - quota.go: the leaky bucket of a customer
--- a/decide/gateway.go
+++ b/decide/gateway.go
@@ -45,7 +45,7 @@
 		cfg:         cfg,
 		rng:         rand.New(rand.NewSource(seed)),
 		classes:     newClassTable(cfg.Classes),
-		customers:   newCustomerTable(cfg.Plans),
+		customers:   newCustomerTable(&cfg),
 		planDemand:  newPlanDemand(len(cfg.Plans)),
 		requests:    map[string]*request{},
 		timers:      newTimerTable(),
--- a/decide/gossip.go
+++ b/decide/gossip.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"math/rand"
 	"strings"
 	"time"
@@ -26,6 +27,18 @@
 	// maxGossipBytes is the size limit of a datagram.
 	maxGossipBytes = 256
 
+	// totalsLifetime is the time for which the totals that a peer has reported about a customer are compared
+	// with later ones. Afterwards the peer may have removed the customer, and its totals begin at 0 again.
+	totalsLifetime = 10 * time.Second
+
+	// reportRetention is the time for which a customer is kept after an entry about it was sent. It exceeds
+	// totalsLifetime by more than a datagram may be late.
+	reportRetention = totalsLifetime + 2*time.Second
+
+	// maxGossipDelay is the time that it takes to send all pending entries of a peer. Entries beyond it are
+	// dropped: they would arrive when most of what they report has leaked.
+	maxGossipDelay = 5 * time.Second
+
 	// sequenceNumbers is the number of distinct sequence numbers, and of distinct epochs.
 	sequenceNumbers = 64 * 64
 )
@@ -35,13 +48,14 @@
 	known        bool          // whether a datagram of the peer has arrived since this gateway started
 	lastReceived time.Duration // time of its last datagram that was not dropped
 	epoch, seq   int           // epoch and sequence number of that datagram
-	// restartedSinceStart reports whether the peer has restarted since this gateway started. The totals of
-	// its present incarnation then began at 0 after this gateway started.
-	restartedSinceStart bool
+	// restartedAt is the time of the first datagram of the peer's present incarnation, if the peer has
+	// restarted since this gateway started, as restarted says. Its totals then began at 0 at that time.
+	restarted   bool
+	restartedAt time.Duration
 
 	lastSent time.Duration
 	sentSeq  int         // sequence number of the last datagram sent to the peer
-	pending  []*customer // customers about which entries are to be sent to the peer
+	pending  []*customer // customers about which entries are to be sent to the peer; at most maxPending
 }
 
 // gossipState is the state of full gossip.
@@ -52,17 +66,24 @@
 	epoch int // identifies this incarnation of this gateway
 	// peers is indexed by rank and has an unused entry for this gateway. It is empty if gossip is disabled
 	// or if the fleet uses owner gateways.
-	peers []peer
+	peers      []peer
+	maxPending int // largest number of pending entries of a peer
 }
 
 func newGossipState(cfg Config, rng *rand.Rand) gossipState {
 	s := gossipState{full: supportsFullGossip(cfg), epoch: rng.Intn(sequenceNumbers)}
 	if s.full && cfg.Limits.Gossip {
 		s.peers = make([]peer, cfg.Gateways)
+		s.maxPending = maxGossipEntries * int(math.Ceil(gossipRate(cfg)*maxGossipDelay.Seconds()))
 	}
 	return s
 }
 
+// gossipRate returns the number of datagrams per second that a gateway sends to each peer in full gossip.
+func gossipRate(cfg Config) float64 {
+	return max(1, gossipCapacityUsed*cfg.GossipCapacity/float64(max(1, cfg.Gateways-1)))
+}
+
 // supportsFullGossip reports whether each gateway can receive gossip from all others often enough. Without
 // any gossip there are no owner gateways to ask either, so this counts as full gossip.
 func supportsFullGossip(cfg Config) bool {
@@ -72,22 +93,45 @@
 
 // customerGossip holds the usage totals of a customer that this gateway and its peers report to each other.
 type customerGossip struct {
-	usedTotal float64      // units charged at this gateway; for demanded units see demand.total
-	totals    []peerTotals // totals reported by peers, by rank
-	// queuedFor reports by rank whether the customer is in the peer's pending entries.
+	usedTotal float64       // units charged at this gateway; for demanded units see demand.total
+	sentAt    time.Duration // time at which the last entry about the customer was sent
+	reports   []peerTotals  // totals reported by peers, in the order in which the peers first reported
+	// queuedFor reports by rank whether the customer is in the peer's pending entries. It is nil until an
+	// entry is queued.
 	queuedFor []bool
 }
 
 // peerTotals holds the totals that a peer last reported for a customer.
 type peerTotals struct {
-	known      bool // whether the peer has reported them in its present incarnation
-	used       int  // charged units modulo totalModulus
-	demanded   int  // demanded units modulo totalModulus
-	demandRate rate
+	rank       int32
+	known      bool   // whether the peer has reported them in its present incarnation
+	used       uint16 // charged units modulo totalModulus
+	demanded   uint16 // demanded units modulo totalModulus
+	demandRate rate   // units per second demanded at the peer; updated with each report
+}
+
+// isCurrent reports whether later totals can be compared with these.
+func (t *peerTotals) isCurrent(now time.Duration) bool {
+	return t.known && now-t.demandRate.updatedAt < totalsLifetime
+}
+
+// findReport returns the totals that a peer has reported, or nil.
+func (c *customerGossip) findReport(rank int) *peerTotals {
+	for i := range c.reports {
+		if c.reports[i].rank == int32(rank) {
+			return &c.reports[i]
+		}
+	}
+	return nil
 }
 
-func newCustomerGossip(peers int) customerGossip {
-	return customerGossip{totals: make([]peerTotals, peers), queuedFor: make([]bool, peers)}
+// findOrAddReport returns the totals that a peer has reported, and adds unknown ones if there are none.
+func (c *customerGossip) findOrAddReport(rank int) *peerTotals {
+	if t := c.findReport(rank); t != nil {
+		return t
+	}
+	c.reports = append(c.reports, peerTotals{rank: int32(rank)})
+	return &c.reports[len(c.reports)-1]
 }
 
 // queueGossip queues an entry about a customer for each of the customer's other gateways.
@@ -98,11 +142,17 @@
 }
 
 // queueGossipTo queues an entry about a customer for a peer, if the peer is one of the customer's gateways
-// and no such entry is queued.
+// and no such entry is queued. Without room in the queue, the peer learns the totals from a later entry.
 func (g *Gateway) queueGossipTo(rank int, c *customer) {
-	if rank != g.cfg.Rank && g.servesCustomer(c, rank) && !c.gossip.queuedFor[rank] {
+	p := &g.gossip.peers[rank]
+	if rank == g.cfg.Rank || !g.servesCustomer(c, rank) || len(p.pending) >= g.gossip.maxPending {
+		return
+	}
+	if c.gossip.queuedFor == nil {
+		c.gossip.queuedFor = make([]bool, len(g.gossip.peers))
+	}
+	if !c.gossip.queuedFor[rank] {
 		c.gossip.queuedFor[rank] = true
-		p := &g.gossip.peers[rank]
 		p.pending = append(p.pending, c)
 	}
 }
@@ -128,6 +178,7 @@
 	n := min(len(p.pending), maxGossipEntries)
 	for _, c := range p.pending[:n] {
 		c.gossip.queuedFor[rank] = false
+		c.gossip.sentAt = g.now
 		g.refresh(c)
 		c.gossipEntry().encode(&b)
 	}
@@ -176,34 +227,38 @@
 }
 
 // startIncarnation handles the first datagram of a new incarnation of a peer: the peer's totals restart,
-// and entries about all customers are queued for it.
+// and entries about all customers are queued for it as long as there is room. It learns first about those
+// that were used last.
 func (g *Gateway) startIncarnation(rank int, p *peer) {
-	p.restartedSinceStart = p.known
-	for _, c := range g.customers.order {
-		c.gossip.totals[rank].known = false
+	p.restarted, p.restartedAt = p.known, g.now
+	for c := range g.customers.list.fromNewest() {
+		if t := c.gossip.findReport(rank); t != nil {
+			t.known = false
+		}
 		g.queueGossipTo(rank, c)
 	}
 }
 
-// mergeTotals adds the growth of a peer's totals to the fleet level and the demand of a customer. The first
-// totals of an incarnation count in full if the incarnation began after this gateway started. Otherwise
-// they include units used earlier, and the level that the peer reports is adopted instead.
+// mergeTotals adds the growth of a peer's totals to the fleet level and the demand of a customer. Without
+// totals of the last totalsLifetime to compare with, the peer's totals count in full if its incarnation began
+// within that time and after this gateway started. Otherwise they include units used earlier, and the level
+// that the peer reports is adopted instead.
 func (g *Gateway) mergeTotals(from int, p *peer, e gossipEntry) {
 	if e.planIndex >= len(g.cfg.Plans) {
 		return
 	}
 	c := g.findOrAddCustomer(e.key, e.planIndex)
 	g.refresh(c)
-	t := &c.gossip.totals[from]
+	t := c.gossip.findOrAddReport(from)
 	switch {
-	case t.known:
-	case p.restartedSinceStart:
-		t.known, t.used, t.demanded = true, 0, 0
+	case t.isCurrent(g.now):
+	case p.restarted && g.now-p.restartedAt < totalsLifetime:
+		t.used, t.demanded = 0, 0
 	default:
-		t.known, t.used, t.demanded = true, e.used, e.demanded
+		t.used, t.demanded = uint16(e.used), uint16(e.demanded)
 		c.bucket.fleetLevel = max(c.bucket.fleetLevel, stepsToLevel(e.level, c.plan.Burst))
 	}
-	c.bucket.fleetLevel = max(0, c.bucket.fleetLevel+totalDifference(t.used, e.used))
-	t.demandRate.add(g.now, max(0, totalDifference(t.demanded, e.demanded)))
-	t.used, t.demanded = e.used, e.demanded
+	c.bucket.fleetLevel = max(0, c.bucket.fleetLevel+totalDifference(int(t.used), e.used))
+	t.demandRate.add(g.now, max(0, totalDifference(int(t.demanded), e.demanded)))
+	t.known, t.used, t.demanded = true, uint16(e.used), uint16(e.demanded)
 }
--- a/decide/gossip_test.go
+++ b/decide/gossip_test.go
@@ -154,7 +154,7 @@
 			t.Fatal(err)
 		}
 		g.Handle(time.Second, GossipReceived{From: 1, Text: text})
-		for _, c := range g.customers.order {
+		for c := range g.customers.list.fromNewest() {
 			if c.bucket.fleetLevel < 0 || math.IsNaN(c.bucket.fleetLevel) {
 				t.Errorf("fleet level is %v, want a number of 0 or more", c.bucket.fleetLevel)
 			}
--- a/decide/status.go
+++ b/decide/status.go
@@ -8,18 +8,20 @@
 	OpenRequests int
 	Pressure     float64
 	RetryBudget  float64
-	Customers    int // customers whose state is kept
+	Customers    int   // customers whose state is kept
+	Evictions    int64 // customers removed since the start because there were too many
 	// GossipQueue is the number of gossip entries that wait to be sent, over all peers.
 	GossipQueue int
 }
 
-// Summary returns the figures after the last event. Unlike [Gateway.Status], it copies no state of servers and
-// customers, so callers may use it often. It must not be called concurrently with Handle.
+// Summary returns the figures after the last event. Unlike [Gateway.Status], it copies no state of servers
+// and customers, so callers may use it often. It must not be called concurrently with Handle.
 func (g *Gateway) Summary() Summary {
 	s := Summary{
 		OpenRequests: len(g.requests),
 		RetryBudget:  g.retryBudget.tokens,
 		Customers:    len(g.customers.byKey),
+		Evictions:    g.customers.evictions,
 	}
 	for i := range g.gossip.peers {
 		s.GossipQueue += len(g.gossip.peers[i].pending)
@@ -150,7 +152,7 @@
 }
 
 func (g *Gateway) customerStatus() (all []CustomerStatus) {
-	for _, c := range g.customers.order {
+	for c := range g.customers.list.fromNewest() {
 		all = append(all, CustomerStatus{
 			Key:           c.key,
 			Plan:          c.plan.Name,
--- a/decide/timers.go
+++ b/decide/timers.go
@@ -75,8 +75,7 @@
 	if !g.gossip.full {
 		return ownerHeartbeatInterval
 	}
-	perSecond := gossipCapacityUsed * g.cfg.GossipCapacity / float64(max(1, g.cfg.Gateways-1))
-	return time.Duration(float64(time.Second) / max(perSecond, 1))
+	return time.Duration(float64(time.Second) / gossipRate(g.cfg))
 }
 
 // setHeartbeat sets the timer of the next heartbeat.
@@ -91,5 +90,5 @@
 	g.endpoints.dropRemoved(g.now)
 	g.endpoints.updateTotals(g.now)
 	g.load.update(g.endpoints.totals.inFlight, g.responseStats.responseRate.perSecond(g.now), ownLoadGain)
-	g.customers.dropIdle(g.now)
+	g.dropIdleCustomers()
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -123,6 +123,7 @@
 	if err := c.checkPeers(); err != nil {
 		return nil, err
 	}
+	c.Decide.MaxCustomers = c.maxCustomers()
 	return c, nil
 }
 
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -26,6 +26,8 @@
 	// that response bodies may use.
 	bodyMemoryShare  = 0.1
 	maxResponseBytes = 1 << 20 // largest body of a response
+	// customerMemoryShare is the fraction of the memory limit that the state of customers may use.
+	customerMemoryShare = 0.125
 )
 
 // gcPercent lets the heap grow to five times the live data between two garbage collections. The soft memory
@@ -59,3 +61,9 @@
 func (c *Config) maxTotalBodyBytes() int64 {
 	return int64(bodyMemoryShare * float64(cmp.Or(c.MemoryMB, defaultMemoryMB)) * (1 << 20))
 }
+
+// maxCustomers returns the limit on customers whose state is kept.
+func (c *Config) maxCustomers() int {
+	bytes := customerMemoryShare * float64(cmp.Or(c.MemoryMB, defaultMemoryMB)) * (1 << 20)
+	return max(1, int(bytes)/c.Decide.CustomerBytes())
+}
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -77,3 +78,20 @@
 		t.Errorf("after the recovery: responses by status %v, want 200", count)
 	}
 }
+
+// The state of customers must fit the memory limit beside everything else, whatever the size of the fleet. A
+// limit of 0 means that the configuration sets none.
+func TestCustomersFitMemoryLimit(t *testing.T) {
+	for _, memoryMB := range []int{0, 32, 192} {
+		for _, gateways := range []int{1, 4, 17, 300} {
+			c := &Config{MemoryMB: memoryMB}
+			c.Decide.Gateways, c.Decide.GossipCapacity, c.Decide.Limits.Gossip = gateways, 40, true
+			customers := c.maxCustomers()
+			limit := cmp.Or(memoryMB, defaultMemoryMB) << 20 / 8
+			if bytes := customers * c.Decide.CustomerBytes(); customers < 1 || bytes > limit {
+				t.Errorf("%d MB, %d gateways: %d customers take %d bytes, want at most %d",
+					memoryMB, gateways, customers, bytes, limit)
+			}
+		}
+	}
+}
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -69,6 +69,7 @@
 		"retry_budget", summary.Core.RetryBudget,
 		"held", summary.OpenRequests,
 		"customers", summary.Core.Customers,
+		"customer_evictions", summary.Core.Evictions,
 		"gossip_queue", summary.Core.GossipQueue,
 	}
 }
--- a/internal/recording/wire.go
+++ b/internal/recording/wire.go
@@ -70,6 +70,7 @@
 	MaxUnits          float64       `json:"MaxUnits"`
 	UsageReportPeriod time.Duration `json:"MeterPeriod"`
 	GossipCapacity    float64       `json:"PeerIntake"`
+	MaxCustomers      int           `json:"MaxCustomers,omitempty"`
 	Limits            storedLimits  `json:"Limits"`
 	Safety            storedSafety  `json:"Safety"`
 }
@@ -184,6 +185,7 @@
 		MaxUnits:          c.MaxUnits,
 		UsageReportPeriod: c.UsageReportPeriod,
 		GossipCapacity:    c.GossipCapacity,
+		MaxCustomers:      c.MaxCustomers,
 		Limits:            storedLimits(c.Limits),
 		Safety:            storedSafety(c.Safety),
 	}
@@ -201,6 +203,7 @@
 		MaxUnits:          c.MaxUnits,
 		UsageReportPeriod: c.UsageReportPeriod,
 		GossipCapacity:    c.GossipCapacity,
+		MaxCustomers:      c.MaxCustomers,
 		Limits:            decide.Limits(c.Limits),
 		Safety:            decide.Safety(c.Safety),
 	}
