Apply what the fleet has used when a request names a smaller set of gateways

What callers saw: nothing was reported; found while reading for ways in which a customer that is added anew gains units. Cause: a customer heard of by gossip counts for the whole fleet until a request states its set. setGateways raised the share to that of the smaller set and left the level at the small share, so the gateway had room for the difference until all peers had reported again. Change: with full gossip the level is at least the new share of what the fleet has used. Result: TestSmallerGatewaySetKeepsLevel failed before ("a request was forwarded while the burst of the customer is used") and passes.

--- a/decide/customers.go
+++ b/decide/customers.go
@@ -141,7 +141,8 @@
 }
 
 // setGateways sets the gateways through which the customer's requests come, as stated by a request. A set
-// that is empty or larger than the fleet is ignored.
+// that is empty or larger than the fleet is ignored. In a smaller set, each gateway has a larger part of what
+// the fleet has used.
 func (g *Gateway) setGateways(c *customer, first, count int) {
 	fleet := g.cfg.Gateways
 	if count <= 0 || count > fleet || (c.gatewayCount == count && c.firstGateway == first) {
@@ -149,6 +150,9 @@
 	}
 	c.firstGateway, c.gatewayCount = first%fleet, count
 	c.bucket.ceilingTokens = min(c.bucket.ceilingTokens, c.plan.CeilingBurst/float64(count))
+	if g.gossip.full {
+		c.bucket.level = max(c.bucket.level, c.evenShare()*c.bucket.fleetLevel)
+	}
 }
 
 // servesCustomer reports whether requests of the customer may come through the gateway with the rank.
--- a/decide/customers_test.go
+++ b/decide/customers_test.go
@@ -179,3 +179,16 @@
 		}
 	}
 }
+
+// A set of gateways that a request states is often smaller than the whole fleet, which is assumed before.
+// Each of them then has a larger part of what the fleet has used.
+func TestSmallerGatewaySetKeepsLevel(t *testing.T) {
+	h := newHarness(t, nil)
+	h.now += time.Minute
+	h.handle(GossipReceived{From: 1, Text: gossipText(1, 1, entryText("x", 1, 0, 0, 30))})
+	acts := h.handle(Request{ID: "q", Class: "get", Plan: "small", Customer: "x", Units: 1,
+		Deadline: h.now + time.Second, GatewayCount: 1})
+	if len(actionsOf[Send](acts)) != 0 {
+		t.Error("a request was forwarded while the burst of the customer is used")
+	}
+}
