Add no customer for the release of a grant that the owner does not know

What callers saw: nothing; found by looking for what else adds customers. In fleets with owners a late release, for example after a restart of the owner, added a customer that had no grant to end. Change: the owner looks the customer up and does nothing if it has none. Result: TestReleaseOfUnknownGrantAddsNoCustomer failed before (1 customer, want 0) and passes.

--- a/decide/quotaowner.go
+++ b/decide/quotaowner.go
@@ -292,7 +292,9 @@
 			c.bucket.fleetLevel, c.ownedBucket.demandRate.perSecond(g.now), c.ownedBucket.rejectWait)
 	}
 	if extra, ok := m.releasedUnits(); ok && owned {
-		g.endGrant(g.findOrAddCustomer(m.key, m.planIndex), from, m.number, extra)
+		if c := g.customers.byKey[m.key]; c != nil { // otherwise there is no grant to end
+			g.endGrant(c, from, m.number, extra)
+		}
 	}
 	if a, ok := m.answer(); ok {
 		g.receiveGrantReply(from, &m, a)
--- a/decide/quotaowner_test.go
+++ b/decide/quotaowner_test.go
@@ -183,3 +183,16 @@
 		t.Errorf("while the owner rejects: got %#v, want one Reject", acts)
 	}
 }
+
+// Guards against memory that grows with late releases: the end of a grant that the owner doesn't know, because
+// it has restarted or removed the customer, must not add the customer.
+func TestReleaseOfUnknownGrantAddsNoCustomer(t *testing.T) {
+	fleet := newCluster(t, 300, nil)
+	key := hashKey("x")
+	owner := fleet.gateways[fleet.gateways[0].owner(key, 0)]
+	release := grantMessage{kind: grantRelease, key: key, planIndex: 1, number: 7, valueCount: 1}
+	owner.Handle(fleet.now, GossipReceived{From: 9, Text: release.encode()})
+	if n := owner.Summary().Customers; n != 0 {
+		t.Errorf("%d customers after the release of an unknown grant, want 0", n)
+	}
+}
