Bound the readers of evicted connections

A related path: goroutines that grow with connections. Cause: admit closes the descriptor of an evicted connection, but its goroutine and buffers stay until that goroutine has run, and on one processor the accepting goroutine runs ahead of them. Nothing bounded their number. Change: admit waits while as many readers as connections are allowed, and a quarter more, have not returned. New connections wait in the kernel's backlog meanwhile. A lingering or held connection counts against the smaller limit of connections, so these alone never block.

--- a/internal/frontend/http/close.go
+++ b/internal/frontend/http/close.go
@@ -120,6 +120,7 @@
 	s := c.server
 	s.mu.Lock()
 	delete(s.conns, c.id)
+	s.readerReturned.Signal()
 	s.limit.Remove(c.id)
 	c.stopLingering()
 	s.bodyBytes -= c.bodyBytes + int64(c.pipeline.bytes)
--- a/internal/frontend/http/server.go
+++ b/internal/frontend/http/server.go
@@ -42,6 +42,9 @@
 	// lingerDivisor determines the number of connections that are reserved for lingering, which is
 	// Options.MaxConns divided by lingerDivisor.
 	lingerDivisor = 4
+	// endingDivisor determines the number of readers that may run for connections that are already closed,
+	// which is Options.MaxConns divided by endingDivisor.
+	endingDivisor = 4
 )
 
 // reasonStopping is the reason in the response to a request that arrives during a shutdown.
@@ -80,15 +83,19 @@
 	log      *slog.Logger
 	ready    func() bool
 	maxConns int
+	// maxReaders limits the number of readers, including those whose connections have been closed and which
+	// have not returned yet. It exceeds maxConns.
+	maxReaders int
 
 	// mu guards the fields from here to closed and the fields of conn that are marked as guarded by it. A
 	// single lock makes reads, the selection of connections to close and the writing of responses mutually
 	// exclusive. Otherwise a request could be read after its connection was found inactive but before the
 	// connection is closed, and would be lost. System calls made under mu do not block.
 	mu                sync.Mutex
-	limit             *connlimit.Limiter // tracks all connections that are not closing
-	conns             map[connlimit.ID]*conn
-	openTxns          map[string]struct{} // X-Txn of open requests
+	limit             *connlimit.Limiter     // tracks all connections that are not closing
+	conns             map[connlimit.ID]*conn // connections whose readers have not returned
+	readerReturned    *sync.Cond             // signaled when a connection leaves conns, and by Close
+	openTxns          map[string]struct{}    // X-Txn of open requests
 	lastID            connlimit.ID
 	lingering         *list.List // *conn values that are half-closed but not yet closed, the oldest first
 	toClose           []*conn    // connections for unlockAndClose to close
@@ -107,13 +114,14 @@
 func New(rules *Rules, core frontend.Core, o Options, clock func() time.Duration, ready func() bool,
 	log *slog.Logger) *Server {
 	maxConns := max(2, o.MaxConns)
-	return &Server{
+	s := &Server{
 		rules:             rules,
 		core:              core,
 		clock:             clock,
 		log:               log,
 		ready:             ready,
 		maxConns:          maxConns,
+		maxReaders:        maxConns + max(1, maxConns/endingDivisor),
 		limit:             connlimit.New(maxConns - max(1, maxConns/lingerDivisor)),
 		conns:             map[connlimit.ID]*conn{},
 		openTxns:          map[string]struct{}{},
@@ -121,6 +129,8 @@
 		maxTotalBodyBytes: o.MaxBodyBytes,
 		quit:              make(chan struct{}),
 	}
+	s.readerReturned = sync.NewCond(&s.mu)
+	return s
 }
 
 // Serve accepts connections until the listener is closed. After the listener's deadline has passed, it serves
@@ -165,9 +175,15 @@
 
 // admit registers a new connection and starts its reader. At the limit it evicts another connection. It
 // returns false if no connection can be evicted or the server is closed.
+//
+// The reader of an evicted connection keeps its memory until it has run. Clients may connect faster than
+// readers are scheduled, so admit waits while too many have not returned.
 func (s *Server) admit(nc *net.TCPConn, raw syscall.RawConn) bool {
 	s.mu.Lock()
 	defer s.unlockAndClose()
+	for len(s.conns) >= s.maxReaders && !s.closed {
+		s.readerReturned.Wait()
+	}
 	if s.closed {
 		return false
 	}
@@ -265,6 +281,7 @@
 	if !s.closed {
 		s.closed = true
 		close(s.quit)
+		s.readerReturned.Broadcast()
 	}
 	for _, c := range s.conns {
 		c.abort()
--- a/internal/frontend/http/server_test.go
+++ b/internal/frontend/http/server_test.go
@@ -1,6 +1,8 @@
 package http
 
 import (
+	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -59,3 +61,40 @@
 		t.Errorf("the last silent connection was closed after %v, want at most 10 s", took)
 	}
 }
+
+// Guards against memory that grows with the rate at which clients connect: an evicted connection keeps its
+// memory until its reader has run, and with one processor readers may run late. Silent clients connect at once.
+func TestReadersOfEvictedConnectionsAreBounded(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const maxConns, clients = 8, 200
+	const maxReaders = maxConns + maxConns/endingDivisor
+	_, s, _ := startServer(t, maxConns)
+	ln := listenTCP(t)
+	for range clients {
+		dial(t, ln.Addr().String())
+	}
+	for range clients {
+		nc, err := ln.AcceptTCP()
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.accept(nc)
+		if n := s.Conns.Load(); n > maxReaders {
+			t.Fatalf("%d readers run, want at most %d", n, maxReaders)
+		}
+	}
+	if n := s.Accepted.Load(); n != clients {
+		t.Errorf("%d connections were accepted, want %d", n, clients)
+	}
+}
+
+// listenTCP returns a listener on a free loopback port.
+func listenTCP(t *testing.T) *net.TCPListener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln.(*net.TCPListener)
+}
