Release pipelined bytes that were processed or whose connection has ended

Cause: bytes behind an open request are counted against a limit of 6.4 MB, but memory was held beyond what was counted: the first elements of pipeline.chunks were cut off and stayed in the slice's array, a chunk counted less with each byte taken from it, and a connection that had ended kept its chunks for as long as the core held its request. Change: a consumed chunk is cleared and counts until it is consumed whole; an ended connection drops its chunks. Result: TestConsumedBytesAreReleased fails without it ("still in memory").

--- a/internal/frontend/http/close.go
+++ b/internal/frontend/http/close.go
@@ -125,6 +125,7 @@
 	c.stopLingering()
 	s.bodyBytes -= c.bodyBytes + int64(c.pipeline.bytes)
 	c.bodyBytes, c.pipeline.bytes = 0, 0
+	c.pipeline.chunks = nil // the core may hold the request, and with it the connection, for longer
 	s.mu.Unlock()
 	s.Conns.Add(-1)
 }
--- a/internal/frontend/http/pipeline.go
+++ b/internal/frontend/http/pipeline.go
@@ -25,7 +25,7 @@
 // that time. Server.mu guards it.
 type pipeline struct {
 	chunks       []chunk
-	bytes        int  // total size of chunks
+	bytes        int  // total size of chunks, as they were read
 	overflowed   bool // whether bytes were dropped for lack of room
 	droppedBytes int  // number of bytes dropped since the overflow
 
@@ -41,25 +41,28 @@
 // chunk holds the bytes of one read. The remaining time of a request runs from the arrival of its last byte,
 // even while it waits for the response to an earlier request.
 type chunk struct {
-	bytes     []byte
+	bytes     []byte // bytes that have not been consumed yet
+	size      int    // bytes that were read
 	arrivedAt time.Duration
 }
 
-// consume moves bytes of the first chunk to b and returns their number and arrival time. ok is false if there
-// are no pipelined bytes.
-func (p *pipeline) consume(b []byte) (n int, arrivedAt time.Duration, ok bool) {
+// consume moves bytes of the first chunk to b and returns their number and arrival time, and the size of the
+// chunk if its memory was released. ok is false if there are no pipelined bytes.
+func (p *pipeline) consume(b []byte) (n, released int, arrivedAt time.Duration, ok bool) {
 	if len(p.chunks) == 0 {
-		return 0, 0, false
+		return 0, 0, 0, false
 	}
 	first := &p.chunks[0]
 	n = copy(b, first.bytes)
 	arrivedAt = first.arrivedAt
-	p.bytes -= n
 	first.bytes = first.bytes[n:]
 	if len(first.bytes) == 0 {
+		released = first.size
+		p.bytes -= released
+		*first = chunk{} // the slice is kept, and with it everything that its first elements refer to
 		p.chunks = p.chunks[1:]
 	}
-	return n, arrivedAt, true
+	return n, released, arrivedAt, true
 }
 
 // hasPipelined reports whether bytes after the current request have been read. The caller holds Server.mu.
@@ -134,7 +137,7 @@
 		p.droppedBytes += n
 		return true
 	}
-	p.chunks = append(p.chunks, chunk{bytes.Clone(buf[:n]), c.readAt})
+	p.chunks = append(p.chunks, chunk{bytes: bytes.Clone(buf[:n]), size: n, arrivedAt: c.readAt})
 	p.bytes += n
 	s.bodyBytes += int64(n)
 	return true
--- a/internal/frontend/http/pipeline_test.go
+++ b/internal/frontend/http/pipeline_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
+	"weak"
 
 	"winghatch/internal/frontend"
 )
@@ -151,6 +153,30 @@
 	}
 }
 
+// Guards against pipelined bytes that stay in memory after they were processed, beyond the limit on them: a
+// client that sends more and more requests at once would fill the memory.
+func TestConsumedBytesAreReleased(t *testing.T) {
+	var p pipeline
+	const size = 1 << 10
+	first := make([]byte, size)
+	freed := weak.Make(&first[0])
+	p.chunks = append(p.chunks, chunk{bytes: first, size: size}, chunk{bytes: make([]byte, size), size: size})
+	p.bytes = 2 * size
+	first = nil
+	if _, released, _, _ := p.consume(make([]byte, size-1)); released != 0 || p.bytes != 2*size {
+		t.Errorf("%d bytes released and %d counted while a chunk is held in part, want 0 and %d",
+			released, p.bytes, 2*size)
+	}
+	if _, released, _, _ := p.consume(make([]byte, size)); released != size || p.bytes != size {
+		t.Errorf("%d bytes released and %d counted, want %d each", released, p.bytes, size)
+	}
+	runtime.GC()
+	if freed.Value() != nil {
+		t.Error("the bytes of a consumed chunk are still in memory")
+	}
+	runtime.KeepAlive(&p)
+}
+
 // reset closes a connection with a TCP reset.
 func reset(nc *net.TCPConn) {
 	nc.SetLinger(0)
--- a/internal/frontend/http/read.go
+++ b/internal/frontend/http/read.go
@@ -11,9 +11,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	s := c.server
 	s.mu.Lock()
-	if n, arrivedAt, ok := c.pipeline.consume(b); ok {
+	if n, released, arrivedAt, ok := c.pipeline.consume(b); ok {
 		c.arrivedAt = arrivedAt
-		s.bodyBytes -= int64(n)
+		s.bodyBytes -= int64(released)
 		s.mu.Unlock()
 		return n, nil
 	}
