Count the body of a request until the core has released it

Cause: a body's bytes were counted as free when its client had disconnected or had its answer, while the request waited in the loop's queue or had an attempt in flight. Change: the loop reports the release of a request (frontend.Request.Released), and the frontend frees the bytes then. A turn drops each input as it handles it. TestTotalBodyBytesAreBounded releases its requests as the loop does, and checks that the bytes stay reserved before. TestRequestIsReleasedAfterItsAttempts.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -53,6 +53,10 @@
 	// Done receives the final response. The loop calls it at most once, and not at all if the client has
 	// disconnected. It must not block.
 	Done func(Response)
+	// Released is called once, when the loop no longer holds the request: after its final answer or after the
+	// client has disconnected, when no attempt is in flight. It must not block. Nil means that the frontend
+	// holds nothing for the request.
+	Released func()
 	// ClientGone reports whether the client has disconnected, even if the event from Core.Disconnected is
 	// still in the loop's queue. Nil means that this is unknown.
 	ClientGone func() bool
--- a/internal/frontend/http/conn.go
+++ b/internal/frontend/http/conn.go
@@ -52,7 +52,7 @@
 	clientGone         bool          // whether the connection was closed by the client or broke
 	writeClosed        bool          // whether the writing side is closed
 	lingerElem         *list.Element // element in Server.lingering; nil unless the connection lingers
-	bodyBytes          int64         // part of Server.bodyBytes that the open request's body reserves
+	bodyBytes          int64         // part of Server.bodyBytes that the body being read reserves
 	pipeline           pipeline
 
 	pendingWrites sync.WaitGroup // running goroutines of writeRemainder
@@ -179,6 +179,8 @@
 	}
 	s.openTxns[txn] = struct{}{}
 	c.requestID, c.txn, c.deadline = request.ID, txn, request.Deadline
+	request.Released = s.bodyRelease(c.bodyBytes)
+	c.bodyBytes = 0
 	c.closeAfterResponse = closeAfter || c.closeAfterResponse
 	c.requestStarted = c.hasPipelined()
 	c.setPhase(active)
--- a/internal/frontend/http/request_test.go
+++ b/internal/frontend/http/request_test.go
@@ -162,14 +162,26 @@
 		t.Errorf("second large body: got status %d, want 503", status)
 	}
 	call.Done(frontend.Response{Kind: frontend.Served})
+	call.Released()
 	first.read()
 	c := dial(t, addr).send(strings.Replace(large, "t1", "t3", 1))
-	<-core.submitted
+	call = <-core.submitted
 	c.nc.Close()
 	<-core.disconnected
-	waitUntil(t, "the body's bytes are released", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.bodyBytes == 0
-	})
+	waitUntil(t, "the connection has ended", func() bool { return s.Conns.Load() == 1 })
+	if n := reservedBytes(s); n != 81920 {
+		t.Errorf("%d bytes of bodies are reserved while the core holds the request of a client that has gone, "+
+			"want 81920", n)
+	}
+	call.Released()
+	if n := reservedBytes(s); n != 0 {
+		t.Errorf("%d bytes of bodies are reserved after all requests, want 0", n)
+	}
+}
+
+// reservedBytes returns the size of the bodies that are read or held by the core.
+func reservedBytes(s *Server) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodyBytes
 }
--- a/internal/frontend/http/response.go
+++ b/internal/frontend/http/response.go
@@ -84,8 +84,6 @@
 // finishResponse completes the request whose response has been written and wakes the reader. The caller holds
 // Server.mu.
 func (c *conn) finishResponse() {
-	c.server.bodyBytes -= c.bodyBytes
-	c.bodyBytes = 0
 	switch {
 	case c.clientGone: // the reader closes the connection
 		c.setPhase(closing)
--- a/internal/frontend/http/server.go
+++ b/internal/frontend/http/server.go
@@ -99,7 +99,7 @@
 	lastID            connlimit.ID
 	lingering         *list.List // *conn values that are half-closed but not yet closed, the oldest first
 	toClose           []*conn    // connections for unlockAndClose to close
-	bodyBytes         int64      // size of all bodies of open requests and all pipelined bytes
+	bodyBytes         int64      // size of all bodies that are read or held by the core, and all pipelined bytes
 	maxTotalBodyBytes int64      // limit on bodyBytes; 0: no limit
 	draining          bool       // whether responses to requests end their connections
 	stopping          bool       // whether new requests are rejected
@@ -215,6 +215,16 @@
 	return s.maxTotalBodyBytes == 0 || s.bodyBytes+int64(n) <= s.maxTotalBodyBytes
 }
 
+// bodyRelease returns a function that releases n bytes of a body. They are reserved for as long as the core
+// holds the request: it may do so after the client has disconnected.
+func (s *Server) bodyRelease(n int64) func() {
+	return func() {
+		s.mu.Lock()
+		s.bodyBytes -= n
+		s.mu.Unlock()
+	}
+}
+
 // sweep ends the connections that have timed out every sweepInterval until Close is called.
 func (s *Server) sweep() {
 	ticker := time.NewTicker(sweepInterval)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -190,7 +190,9 @@
 func (l *Loop) turn() {
 	l.now = l.clock()
 	l.turns++
-	for _, in := range l.queue.take() {
+	inputs := l.queue.take()
+	for i, in := range inputs {
+		inputs[i] = nil // a long turn must not keep the bodies of requests that it has handled
 		l.handleInput(in)
 	}
 	if at, ok := l.timers.next(); ok {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -191,6 +191,9 @@
 		return
 	}
 	delete(l.requests, r.ID)
+	if r.Released != nil {
+		r.Released()
+	}
 	l.exportTrace(r)
 	if r.Reserved && l.plans != nil {
 		l.plans.handleReservationEvent(reservation.RequestEnded{ID: r.ID, Used: r.reservedUsed})
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"winghatch/internal/config"
 	"winghatch/internal/frontend"
 	"winghatch/internal/testbed/backend"
+	"winghatch/internal/upstream"
 	"winghatch/internal/websocket"
 )
 
@@ -223,3 +226,34 @@
 		t.Errorf("%d answers, want 1 and no open request", n)
 	}
 }
+
+// TestRequestIsReleasedAfterItsAttempts guards against memory that is counted as free while the loop still
+// holds the request of a client that has disconnected.
+func TestRequestIsReleasedAfterItsAttempts(t *testing.T) {
+	h := &holdingUpstream{sent: make(chan *upstream.Call, 10)}
+	cfg := decide.Config{Limits: decide.Limits{MaxAttempts: 3}}
+	l := NewLoop(cfg, sendingCore{}, func() time.Duration { return time.Hour }, h, nil, nil,
+		slog.New(slog.DiscardHandler))
+	l.SetMaxOpenRequests(10)
+	go l.Run()
+	t.Cleanup(l.Stop)
+	var released atomic.Int64
+	l.Submit(&frontend.Request{
+		ID:            "a",
+		Deadline:      time.Hour + time.Second,
+		Done:          func(frontend.Response) {},
+		Released:      func() { released.Add(1) },
+		EncodeAttempt: func(int, time.Duration) []byte { return nil },
+	})
+	call := <-h.sent
+	l.Disconnected("a")
+	l.Do(func() {}) // the loop has handled the disconnection
+	if n := released.Load(); n != 0 {
+		t.Errorf("request released %d times with an attempt in flight, want 0", n)
+	}
+	call.Finish(upstream.Result{Outcome: decide.OutcomeOK})
+	l.Do(func() {})
+	if n := released.Load(); n != 1 {
+		t.Errorf("request released %d times after its attempt has ended, want 1", n)
+	}
+}
