--- a/internal/frontend/http/server_test.go
+++ b/internal/frontend/http/server_test.go
@@ -63,7 +63,7 @@
 }
 
 // Guards against memory that grows with the rate at which clients connect: an evicted connection keeps its
-// memory until its reader has run, and with one processor readers may run late. Silent clients connect at once.
+// memory until its reader has run, and with one processor readers may run late.
 func TestReadersOfEvictedConnectionsAreBounded(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const maxConns, clients = 8, 200
