Give each request of a connection an ID of its own

What callers saw: nothing was reported; found on reading the change. A client that uses its X-Txn again on one connection while the core holds its first request, for example behind an attempt that can't be cancelled, would get no answer. Cause: the ID was the connection and the X-Txn. The loop replaced its first request by the second one, so the first was never released and, since bodies count until then, its body would have counted against the limit forever; the core ignored the second one as a duplicate. Change: the ID also has the number of the request on its connection. Result: TestReusedTxnGetsIDOfItsOwn failed before (IDs map[1-t1:true], want two different ones) and passes.

--- a/internal/frontend/http/conn.go
+++ b/internal/frontend/http/conn.go
@@ -58,6 +58,7 @@
 	pendingWrites sync.WaitGroup // running goroutines of writeRemainder
 
 	// Used only by the reader goroutine:
+	requestCount uint64        // valid requests so far
 	arrivedAt    time.Duration // time at which the bytes last returned by Read were read from the socket
 	readAt       time.Duration // time of the last read from the socket
 	socketReader *socket.Reader
@@ -143,9 +144,11 @@
 		c.rejectRequest(err)
 		return false
 	}
-	// The ID contains the connection, because another connection may use the same X-Txn as soon as this
-	// client has disconnected, while the core still holds this request.
-	request.ID = strconv.FormatUint(uint64(c.id), 36) + "-" + parsed.txn
+	// The X-Txn alone is not unique: clients may use it again, on any connection, as soon as a request has its
+	// answer or its client has disconnected, while the core still holds that request.
+	c.requestCount++
+	request.ID = strconv.FormatUint(uint64(c.id), 36) + "-" + strconv.FormatUint(c.requestCount, 36) + "-" +
+		parsed.txn
 	request.EncodeAttempt = func(_ int, left time.Duration) []byte { return parsed.encode(left) }
 	request.Done = func(r frontend.Response) { c.respond(request.ID, r) }
 	request.ClientGone = func() bool { return c.checkClientGone(request.ID) }
--- a/internal/frontend/http/request_test.go
+++ b/internal/frontend/http/request_test.go
@@ -185,3 +185,22 @@
 	defer s.mu.Unlock()
 	return s.bodyBytes
 }
+
+// Guards against requests that the core can't distinguish. A client may use its X-Txn again on the same
+// connection as soon as it has an answer, while the core still holds the first request: the second one would
+// get no answer, and the body of the first one would count forever.
+func TestReusedTxnGetsIDOfItsOwn(t *testing.T) {
+	core, _, addr := startServer(t, 10)
+	c := dial(t, addr)
+	ids := map[string]bool{}
+	for range 2 {
+		c.send(requestText("POST /api") + "abc")
+		request := <-core.submitted
+		ids[request.ID] = true
+		request.Done(frontend.Response{Kind: frontend.Served})
+		c.read()
+	}
+	if len(ids) != 2 {
+		t.Errorf("two requests with the same X-Txn have the IDs %v, want two different ones", ids)
+	}
+}
