--- a/review/stand-2/answered.go
+++ b/review/stand-2/answered.go
@@ -46,11 +46,12 @@
 // outright and restarts it several times, and looks for each answered size at the receiver of usage.
 func answeredSize(r *run) ([]string, error) {
 	const (
-		rounds  = 40
-		workers = 64
+		gateways = 10
+		rounds   = 9 // gateways that are killed, one after the other
+		workers  = 128
 	)
-	f, err := startFleet(r, fleetOptions{gateways: 1, export: true, durability: "each",
-		plan: `rate "4000/s"; burst 12000; price 1.2`})
+	f, err := startFleet(r, fleetOptions{gateways: gateways, export: true, durability: "each", servers: 6,
+		plan: `rate "40000/s"; burst 120000; price 1.2`})
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +64,7 @@
 		var sessionErr error
 		for range workers {
 			wg.Go(func() {
-				s, err := openSession(f.listens[0], memberKey)
+				s, err := openSession(f.listens[round], memberKey)
 				if err != nil {
 					mu.Lock()
 					sessionErr = err
@@ -91,10 +92,12 @@
 					mu.Lock()
 					if a.kind == "served" {
 						answered[int64(math.Round(a.units*1e6))] = a.units
-						r.logf("%d served %.5f", id, a.units)
+						r.line("%d %.5f", id, a.units)
 					} else {
 						others[a.kind+" "+a.reason]++
-						r.logf("%d %s %s", id, a.kind, a.reason)
+						if a.kind != "rejected" {
+							r.logf("%d %s %s", id, a.kind, a.reason)
+						}
 					}
 					mu.Unlock()
 					if a.kind == "none" {
@@ -108,8 +111,8 @@
 		}
 		time.Sleep(400*time.Millisecond + time.Duration(round)*7*time.Millisecond)
 		if r.trouble {
-			r.logf("gateway 0 is killed outright")
-			f.procs[0].kill()
+			r.logf("gateway %d is killed outright", round)
+			f.procs[round].kill()
 		}
 		close(stop)
 		wg.Wait()
@@ -117,10 +120,11 @@
 			return nil, sessionErr
 		}
 		if r.trouble {
-			if err := f.startGateway(0); err != nil {
+			if err := f.startGateway(round); err != nil {
 				return nil, err
 			}
 		}
+		time.Sleep(900 * time.Millisecond) // all restarts together take 10 s or more
 	}
 	// The receiver was reachable all the time; it has all that is owed once the number of its events rests.
 	last, rest := -1, 0
@@ -153,6 +157,9 @@
 	}
 	r.logf("requests %d, answered %d, other ends %v, events %d, of which at an estimate %d", n, len(answered), others,
 		len(events), estimates)
+	if len(events) == 0 {
+		return nil, fmt.Errorf("the receiver has no event at all")
+	}
 	if len(answered) < 1000 {
 		return nil, fmt.Errorf("only %d requests were answered", len(answered))
 	}
--- a/review/stand-2/counted.go
+++ b/review/stand-2/counted.go
@@ -92,6 +92,9 @@
 	for _, e := range events {
 		byRequest[e.Data.Request] = append(byRequest[e.Data.Request], e)
 	}
+	if len(events) == 0 {
+		return nil, fmt.Errorf("the receiver has no event at all")
+	}
 	var violations []string
 	found := 0
 	for request, list := range byRequest {
@@ -120,8 +123,7 @@
 		return nil, fmt.Errorf("only %d requests were answered", len(answered))
 	}
 	if found < len(answered) {
-		violations = append(violations, fmt.Sprintf("%d answered requests are not at the receiver",
-			len(answered)-found))
+		return nil, fmt.Errorf("%d answered requests are not at the receiver yet", len(answered)-found)
 	}
 	return violations, nil
 }
--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -104,7 +106,7 @@
 			flags = o.flags(i)
 		}
 		_, err := r.startProc(fmt.Sprintf("server%d", i), fmt.Sprintf(
-			"exec bin/standin backend --listen %s --config %s --work 10ms --cores 8%s", addr, f.config, flags))
+			"exec bin/standin backend --listen %s --config %s --work 4ms --cores 16%s", addr, f.config, flags))
 		if err != nil {
 			return nil, err
 		}
@@ -119,7 +121,11 @@
 			return nil, err
 		}
 	}
-	for _, addr := range append(servers, listAddr) {
+	needed := append(servers, listAddr)
+	if o.export {
+		needed = append(needed, usageAddr)
+	}
+	for _, addr := range needed {
 		if err := waitFor(addr+" up", 10*time.Second, func() bool { return reachable(addr) }); err != nil {
 			return nil, err
 		}
@@ -160,8 +166,11 @@
 
 // command runs an operator's command to its end and returns its output.
 func (f *fleet) command(command string) (string, error) {
-	c := exec.Command("/bin/sh", "-c", command)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c := exec.CommandContext(ctx, "/bin/sh", "-c", "exec "+command)
 	c.Dir = f.r.root
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := c.CombinedOutput()
 	f.r.logf("%s: %s", command, strings.TrimSpace(string(out)))
 	return string(out), err
--- a/review/stand-2/latecopy.go
+++ b/review/stand-2/latecopy.go
@@ -51,7 +51,7 @@
 		rate       = 100 // requests a second, of all clients together
 		episodes   = 12
 		lateFor    = 900 * time.Millisecond
-		resetShare = 0.4
+		resetShare = 0.25
 	)
 	dd := &dedup{window: window, seen: map[string]time.Time{}}
 	var mu sync.Mutex
@@ -149,10 +149,17 @@
 	}
 	close(stop)
 	wg.Wait()
+	made, late := 0, 0
+	for _, b := range backends {
+		b.mu.Lock()
+		made, late = made+b.accepted, late+b.cameLate
+		b.mu.Unlock()
+	}
+	r.logf("connections to servers that came up: %d, at most %d of them late", made, late)
 	r.logf("answers by status: %v", statuses)
 	for _, n := range nodes {
 		if !n.proc.running() {
-			return []string{n.name + " ended by itself"}, nil
+			return nil, fmt.Errorf("%s ended by itself", n.name)
 		}
 	}
 	if statuses[200] < 100 {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -29,6 +29,7 @@
 	mu       sync.Mutex
 	record   *os.File
 	procs    []*proc
+	ended    bool // no further process is started
 	cleanups []func()
 }
 
@@ -40,6 +41,13 @@
 	fmt.Fprintf(r.record, format+"\n", args...)
 }
 
+// line writes a line without a time to the record, for cases with many.
+func (r *run) line(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.record, format+"\n", args...)
+}
+
 // atEnd registers a function that runs when the case ends.
 func (r *run) atEnd(f func()) {
 	r.mu.Lock()
@@ -51,6 +59,7 @@
 func (r *run) end() {
 	r.mu.Lock()
 	procs, cleanups := r.procs, r.cleanups
+	r.ended = true
 	r.procs, r.cleanups = nil, nil
 	r.mu.Unlock()
 	for _, p := range procs {
--- a/review/stand-2/proc.go
+++ b/review/stand-2/proc.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -28,16 +30,22 @@
 	p.cmd.Dir = r.root
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this program is killed
+	r.mu.Lock()
+	if r.ended {
+		r.mu.Unlock()
+		return nil, errors.New("the case is ending")
+	}
 	if err := p.cmd.Start(); err != nil {
+		r.mu.Unlock()
 		return nil, err
 	}
+	r.procs = append(r.procs, p)
+	r.mu.Unlock()
 	go func() {
 		p.cmd.Wait()
 		close(p.done)
 	}()
-	r.mu.Lock()
-	r.procs = append(r.procs, p)
-	r.mu.Unlock()
 	r.logf("started %s as process %d: %s", name, p.cmd.Process.Pid, command)
 	return p, nil
 }
@@ -48,9 +56,6 @@
 	<-p.done
 }
 
-// signal sends a signal to the process.
-func (p *proc) signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
-
 // running reports whether the process has not ended.
 func (p *proc) running() bool {
 	select {
@@ -61,18 +66,27 @@
 	}
 }
 
-// freeAddr returns a loopback address with a port that is free for TCP and UDP.
+// handedOut are the ports that freeAddr has returned.
+var handedOut = map[int]bool{}
+
+// freeAddr returns a loopback address with a port that is free for TCP and UDP. The port lies below those that the
+// kernel gives to connections, so none takes it before its owner listens. It must not be called concurrently.
 func freeAddr() string {
 	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		port := 20000 + rand.IntN(12000)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if handedOut[port] {
+			continue
+		}
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
 		}
-		addr := ln.Addr().String()
 		pc, err := net.ListenPacket("udp", addr)
 		ln.Close()
 		if err == nil {
 			pc.Close()
+			handedOut[port] = true
 			return addr
 		}
 	}
--- a/review/stand-2/reserved.go
+++ b/review/stand-2/reserved.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -11,18 +12,21 @@
 // counts how many of the reserved units the member can use in all.
 func reservedUnits(r *run) ([]string, error) {
 	const (
-		gateways = 2
+		gateways = 4
 		reserved = 100 // units
 		kills    = 3
-		perLife  = 5 // requests of one unit before each kill
+		perLife  = 5               // requests of one unit before each kill
+		between  = 6 * time.Second // from one kill to the next
+		window   = 100 * time.Second
 	)
 	f, err := startFleet(r, fleetOptions{gateways: gateways, plan: `rate "40/s"; burst 120; price 1.2`})
 	if err != nil {
 		return nil, err
 	}
 	// The window is open from one second on, and long enough for the whole case.
-	out, err := f.command(fmt.Sprintf("bin/winghatch reserve --config %s escuela --units %d --from +1s --to +100s",
-		f.config, reserved))
+	out, err := f.command(fmt.Sprintf("bin/winghatch reserve --config %s escuela --units %d --from +1s --to +%ds",
+		f.config, reserved, int(window.Seconds())))
+	openUntil := time.Now().Add(window - time.Second)
 	if err != nil {
 		return nil, fmt.Errorf("reserve: %v: %s", err, out)
 	}
@@ -68,11 +72,11 @@
 		return nil
 	}
 	for k := range kills {
-		gateway := k % 2
+		gateway, begun := k, time.Now()
 		if err := use(gateway, perLife, 20); err != nil {
 			return nil, err
 		}
-		time.Sleep(time.Second)
+		time.Sleep(time.Until(begun.Add(between)))
 		if r.trouble {
 			r.logf("gateway %d is killed outright, with no request open", gateway)
 			f.procs[gateway].kill()
@@ -82,12 +86,20 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
-	// What is left is used up through each gateway in turn, twice.
-	for gateway := range 4 {
-		if err := use(gateway%2, 2*reserved, 30); err != nil {
+	// What is left is used up through each gateway in turn.
+	for gateway := range gateways {
+		if err := use(gateway, 2*reserved, 16); err != nil {
 			return nil, err
 		}
 	}
+	if time.Now().After(openUntil) {
+		return nil, fmt.Errorf("the window ended before all was asked for")
+	}
+	for reason := range reasons {
+		if !strings.HasPrefix(reason, "reserve_") {
+			return nil, fmt.Errorf("requests were rejected as %s, which has nothing to do with the reservation", reason)
+		}
+	}
 	for _, state := range f.states {
 		f.command("bin/winghatch state --at " + state)
 	}
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -54,6 +54,9 @@
 	late     bool
 	resume   chan struct{}
 	dummies  []net.Conn
+	lateTo   time.Time // connections accepted until then count as late
+	accepted int       // connections that came up, without the own ones that fill the queue
+	cameLate int
 	draining bool
 }
 
@@ -130,6 +133,16 @@
 		}
 		b.mu.Lock()
 		b.conns[nc] = false
+		own := false
+		for _, d := range b.dummies {
+			own = own || d.LocalAddr().String() == nc.RemoteAddr().String()
+		}
+		if !own {
+			b.accepted++
+			if time.Now().Before(b.lateTo) {
+				b.cameLate++
+			}
+		}
 		b.mu.Unlock()
 		go b.serve(nc)
 	}
@@ -148,7 +161,9 @@
 		if err != nil {
 			break
 		}
+		b.mu.Lock()
 		b.dummies = append(b.dummies, nc)
+		b.mu.Unlock()
 		if i > 16 {
 			return nil, fmt.Errorf("%s: connections still come up at once", b.name)
 		}
@@ -163,12 +178,12 @@
 	return func() {
 		b.mu.Lock()
 		b.late, b.draining = false, false
-		b.mu.Unlock()
-		close(b.resume)
+		b.lateTo = time.Now().Add(1100 * time.Millisecond)
 		for _, nc := range b.dummies {
 			nc.Close()
 		}
-		b.dummies = nil
+		b.mu.Unlock()
+		close(b.resume)
 	}, nil
 }
 
--- a/review/stand-2/split.go
+++ b/review/stand-2/split.go
@@ -80,6 +80,9 @@
 			s.end()
 		}
 		r.logf("%s: 80 reserved requests, %d served, %v", m.name, used, reasons)
+		if used == 0 && reasons["rejected reserve_none"] == 0 {
+			return nil, fmt.Errorf("%s: no request was let in, for other reasons: %v", m.name, reasons)
+		}
 		if used == 0 {
 			violations = append(violations, fmt.Sprintf("the reservation of %s was accepted, and none of 80 marked "+
 				"requests in its window was let in: %v", m.name, reasons))
