--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -102,8 +102,9 @@
 	ret := func(k uint32) unix.SockFilter { return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: k} }
 	refused := ret(unix.SECCOMP_RET_ERRNO | uint32(unix.ENOSYS))
 	filter := []unix.SockFilter{load(numberOffset)}
-	for _, number := range []uint32{unix.SYS_FORK, unix.SYS_VFORK, unix.SYS_CLONE3, unix.SYS_EXECVE,
-		unix.SYS_IO_URING_SETUP, unix.SYS_SPLICE, unix.SYS_SENDFILE} {
+	refusedNumbers := append([]uint32{unix.SYS_CLONE3, unix.SYS_EXECVE, unix.SYS_IO_URING_SETUP,
+		unix.SYS_SPLICE, unix.SYS_SENDFILE}, forkNumbers...)
+	for _, number := range refusedNumbers {
 		filter = append(filter, jump(unix.BPF_JEQ, number, 0, 1), refused)
 	}
 	// clone without CLONE_THREAD is a fork.
@@ -125,8 +126,10 @@
 	if errno != 0 {
 		return fmt.Errorf("install seccomp filter: %w", errno)
 	}
-	if _, _, errno := unix.Syscall(unix.SYS_FORK, 0, 0, 0); errno != unix.ENOSYS {
-		return fmt.Errorf("fork returned %v, want ENOSYS", errno)
+	for _, number := range append([]uint32{unix.SYS_CLONE3}, forkNumbers...) {
+		if _, _, errno := unix.Syscall(uintptr(number), 0, 0, 0); errno != unix.ENOSYS {
+			return fmt.Errorf("system call %d returned %v, want ENOSYS", number, errno)
+		}
 	}
 	return nil
 }
