Bound the write of every attempt by the dedup window of any attempt written before it

Cause: Send.WriteBefore was computed when an attempt was decided, from the attempts before it. An attempt decided first, whose connection came up late, had no bound, although one decided later had run and begun the servers' window.

Change: decide.WriteGuard knows the attempts of a request that were written and is asked at the moment of each write, over HTTP and WebSocket. An attempt that it stops ends as not dispatched; the request gets its final answer. The WebSocket pool now repeats the check when it writes a queued call, the HTTP pool before each try of the last byte of a long body. Decisions, recordings and wire forms are unchanged.

--- a/decide/actions.go
+++ b/decide/actions.go
@@ -12,8 +12,9 @@
 		// Timeout is the time after which the caller ends the attempt with OutcomeTimedOut. If it is 0, the
 		// attempt ends at the request's deadline.
 		Timeout time.Duration
-		// WriteBefore is the time after which the request must not be written to a connection any more. 0
-		// means that there is no such bound.
+		// WriteBefore is the time after which the request must not be written to a connection any more,
+		// given the attempts before this one; see [WriteGuard] for those after it. 0 means that there is no
+		// such bound.
 		WriteBefore time.Duration
 	}
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -98,9 +98,9 @@
 }
 
 // newCall returns the upstream call of an attempt. Connecting takes time, so two things are determined only
-// when the call is written to its connection: whether it may still be sent and, if the frontend encodes
-// attempts itself, the remaining time that the call states. writeBefore is the time by which the call must
-// be written; 0 means no bound.
+// when the call is written to its connection: whether it may still be sent, which also depends on the other
+// attempts that were written by then, and, if the frontend encodes attempts itself, the remaining time that
+// the call states. writeBefore is the time by which the call must be written; 0 means no bound.
 func (l *Loop) newCall(a *attempt, timeLeft, writeBefore time.Duration) *upstream.Call {
 	r := a.request
 	timeoutAt := l.now + timeLeft
@@ -112,8 +112,10 @@
 			now := l.clock()
 			return timeoutAt-now < minAttemptTimeout ||
 				writeBefore > 0 && now >= writeBefore ||
+				!r.writes.mayWrite(a.number, now) ||
 				r.ClientGone != nil && r.ClientGone()
 		},
+		WriteStarts: func() { r.writes.start(a.number, l.clock()) },
 	}
 	if r.EncodeAttempt != nil {
 		call.BuildParams = func() []byte { return r.EncodeAttempt(a.number, timeoutAt-l.clock()) }
@@ -170,6 +172,7 @@
 	l.timers.cancelTimeout(a)
 	r := a.request
 	r.inFlight--
+	r.writes.attemptEnded(a.number, result.Outcome)
 	l.countAttemptEnd(a, result)
 	l.outcomes[outcomeNames[result.Outcome]]++
 	if l.debug { // checked first, because each field costs an allocation
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -25,6 +25,7 @@
 	attempts  []*attempt    // by attempt number, including those that have ended
 	inFlight  int           // number of attempts in flight
 	finished  bool          // whether the request has its final answer or its client disconnected
+	writes    attemptWrites // which of its attempts were written
 
 	awaitingReservation bool    // whether it waits for reserved units; the core does not know it yet
 	reservedUsed        float64 // reserved units that its ended attempts used
@@ -72,6 +73,7 @@
 // this loop has no ledger of reservations.
 func (l *Loop) startRequest(received *frontend.Request) {
 	r := &openRequest{Request: received, arrivedAt: l.now}
+	r.writes.guard = l.cfg.WriteGuard(r.Class)
 	l.requests[r.ID] = r
 	if l.tracer != nil {
 		r.trace = tracing.StartContext(r.TraceParent, l.tracer.random)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -57,6 +57,9 @@
 	// that waited for its connection or for space in the send buffer would otherwise be written long after
 	// the decision to send it. Nil means that the call is never cancelled.
 	Cancelled func() bool
+	// WriteStarts is called immediately before the first byte of the call is written. From then on the call
+	// may have run, unless its result says otherwise. Nil means that nobody needs to know.
+	WriteStarts func()
 	// BuildParams returns the content to send in place of Params. It is called at the time of the write, so
 	// that the remaining time that the content states is correct then. Nil means that Params is sent.
 	BuildParams func() []byte
@@ -69,6 +72,16 @@
 	state atomic.Int32
 }
 
+// IsCancelled reports whether the call must no longer be written, see Cancelled.
+func (c *Call) IsCancelled() bool { return c.Cancelled != nil && c.Cancelled() }
+
+// NoteWrite reports to the creator of the call that its write begins, see WriteStarts.
+func (c *Call) NoteWrite() {
+	if c.WriteStarts != nil {
+		c.WriteStarts()
+	}
+}
+
 // AbandonResult states whether an abandoned call may have run.
 type AbandonResult int
 
--- a/internal/upstream/http/attempt.go
+++ b/internal/upstream/http/attempt.go
@@ -1,6 +1,7 @@
 package http
 
 import (
+	"syscall"
 	"time"
 
 	"winghatch/decide"
@@ -25,7 +26,7 @@
 		call.ConnectionLost()
 		return
 	}
-	if isCancelled(call) {
+	if call.IsCancelled() {
 		p.mu.Unlock()
 		call.Finish(notDispatched)
 		return
@@ -72,11 +73,6 @@
 // notDispatched is the result of an attempt that was cancelled before its last byte was written.
 var notDispatched = upstream.Result{Outcome: decide.OutcomeNotDispatched}
 
-// isCancelled reports whether an attempt must no longer be written. It is called immediately before each
-// write that could complete the attempt: while a connection was established or a full send buffer drained,
-// the client may have disconnected or the deadline may have passed.
-func isCancelled(call *upstream.Call) bool { return call.Cancelled != nil && call.Cancelled() }
-
 // writeAttempt writes the attempt of the connection without waiting. The socket's send buffer takes all but
 // the largest requests at once; a goroutine writes the rest of those. The caller holds Pool.mu.
 func (c *conn) writeAttempt() {
@@ -85,6 +81,7 @@
 	if call.BuildParams != nil {
 		request = call.BuildParams()
 	}
+	call.NoteWrite()
 	n, err := socket.WriteNow(c.raw, request)
 	if n == len(request) {
 		call.MarkSent()
@@ -113,20 +110,53 @@
 			return
 		}
 	}
-	if isCancelled(call) {
-		c.pool.mu.Lock()
-		c.call = nil
-		c.discard()
-		c.pool.mu.Unlock()
+	switch written, err := c.writeLastByte(call, rest[last:]); {
+	case err != nil:
+		c.nc.Close()
+	case !written:
 		call.Finish(notDispatched)
-		return
 	}
-	if !call.MarkSent() {
-		return // abandoned in the meantime
+}
+
+// writeLastByte waits for space in the send buffer and writes the last byte of an attempt. Before each try it
+// checks whether the attempt was cancelled, and if so discards the connection and returns false. An attempt
+// that was abandoned is not written either.
+func (c *conn) writeLastByte(call *upstream.Call, lastByte []byte) (written bool, err error) {
+	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	defer c.nc.SetWriteDeadline(time.Time{})
+	for {
+		waitErr := c.raw.Write(func(fd uintptr) (done bool) {
+			written, err = c.tryLastByte(call, fd, lastByte)
+			return err != syscall.EAGAIN // after EAGAIN, raw.Write waits until the socket is writable
+		})
+		if waitErr != nil {
+			return false, waitErr
+		}
+		if err == nil || !socket.IsTransient(err) {
+			return written, err
+		}
+		time.Sleep(socket.RetryDelay)
 	}
-	if err := socket.WriteAll(c.nc, rest[last:], writeTimeout); err != nil {
-		c.nc.Close()
+}
+
+// tryLastByte writes the last byte of an attempt without waiting, unless the attempt was cancelled or
+// abandoned. The check and the write are done with Pool.mu held, see Abandon.
+func (c *conn) tryLastByte(call *upstream.Call, fd uintptr, lastByte []byte) (written bool, err error) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if !call.Waiting() {
+		return false, nil
+	}
+	if call.IsCancelled() {
+		c.call = nil
+		c.discard()
+		return false, nil
+	}
+	if _, err := socket.Write(int(fd), lastByte); err != nil {
+		return false, err
 	}
+	call.MarkSent()
+	return true, nil
 }
 
 func (c *conn) writeDone() {
--- a/internal/upstream/http/conn.go
+++ b/internal/upstream/http/conn.go
@@ -112,7 +112,7 @@
 	switch call := c.call; {
 	case call == nil: // the attempt was abandoned in the meantime
 		c.enterIdle()
-	case isCancelled(call):
+	case call.IsCancelled():
 		cancelled = call
 		c.call = nil
 		c.enterIdle()
--- a/internal/upstream/websocket/conn.go
+++ b/internal/upstream/websocket/conn.go
@@ -68,21 +68,40 @@
 	return waiting
 }
 
-// send queues a call for sending on the open connection, unless the call is cancelled.
+// send queues a call for sending on the open connection, unless the call is cancelled. Other messages may
+// delay its write, so the writer checks that again.
 func (c *conn) send(ws *wsconn.Conn, call *upstream.Call) {
-	if call.Cancelled != nil && call.Cancelled() {
-		c.removeCall(call)
-		call.Finish(upstream.Result{Outcome: decide.OutcomeNotDispatched})
+	if call.IsCancelled() {
+		c.cancelUnwritten(call)
 		return
 	}
 	id := jsonrpc.ID(strconv.FormatUint(call.ID, 10))
 	message := jsonrpc.AppendCall(nil, id, call.Method, call.Params)
-	if ws.SendIf(message, call.MarkSent) != nil {
+	if ws.SendIf(message, func() bool { return c.startWrite(call) }) != nil {
 		c.removeCall(call)
 		call.ConnectionLost()
 	}
 }
 
+// startWrite reports whether a call may be written now and, if so, marks it as sent. A cancelled call ends.
+func (c *conn) startWrite(call *upstream.Call) bool {
+	if call.IsCancelled() {
+		c.cancelUnwritten(call)
+		return false
+	}
+	if !call.MarkSent() {
+		return false // abandoned in the meantime
+	}
+	call.NoteWrite()
+	return true
+}
+
+// cancelUnwritten ends a call that must no longer be written.
+func (c *conn) cancelUnwritten(call *upstream.Call) {
+	c.removeCall(call)
+	call.Finish(upstream.Result{Outcome: decide.OutcomeNotDispatched})
+}
+
 // readResponses reads and handles messages until the connection ends. It closes the connection on a message
 // that is not JSON-RPC.
 func (c *conn) readResponses(ws *wsconn.Conn) {
--- a/internal/upstream/websocket/pool_test.go
+++ b/internal/upstream/websocket/pool_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -253,6 +254,47 @@
 	}
 }
 
+// TestCancelledInQueueIsNotWritten guards against a call that is written although it was cancelled while it
+// waited behind other messages, for example because the dedup window of another attempt ended meanwhile. It
+// must end with OutcomeNotDispatched and must not reach the server.
+func TestCancelledInQueueIsNotWritten(t *testing.T) {
+	const paddingCalls = 200 // 20 MB, more than the kernel buffers
+	begin := make(chan struct{})
+	received := make(chan string, 2*paddingCalls)
+	addr := startServer(t, func(_ net.Conn, br *bufio.Reader) {
+		<-begin
+		for r := websocket.NewReader(br, websocket.Server, 1<<20); ; {
+			m, err := r.Next()
+			if err != nil {
+				return
+			}
+			received <- string(m.Data)
+		}
+	})
+	o := testOptions()
+	o.MaxConns, o.Conn.MaxQueue = 1, 64<<20
+	p := New(o)
+	defer p.Close()
+	pad := strings.Repeat("x", 100_000)
+	for range paddingCalls {
+		send(p, addr, `{"pad":"`+pad+`"}`)
+	}
+	var cancelled atomic.Bool
+	results := make(chan upstream.Result, 2)
+	p.Send(&upstream.Call{Server: addr, Method: "m", Params: []byte(`{"key":"k"}`), Cancelled: cancelled.Load,
+		Done: func(r upstream.Result) { results <- r }})
+	waitUntil(t, "the connection is open", func() bool { return p.connectedTo(addr) == 1 })
+	cancelled.Store(true)
+	send(p, addr, `{"last":1}`)
+	close(begin)
+	waitOutcome(t, results, decide.OutcomeNotDispatched)
+	for data := ""; !strings.Contains(data, `"last"`); {
+		if data = <-received; strings.Contains(data, `"key"`) {
+			t.Fatal("the server received the cancelled call")
+		}
+	}
+}
+
 // TestCallsToEmulatedServer guards against lost or mixed-up responses of many concurrent calls on few
 // connections, against wrong outcomes when the server fails, and against idle connections that stay open. A
 // connection that carries a call must not be closed as idle.
