Retry and sync the write-ahead log in time while records keep arriving

Seen: with records appended more often than the retry interval, a log whose disk had been full stayed unwritable, and in the mode 'interval' nothing was synced before the end of a segment: a crash of the machine would have lost far more than the stated interval.

Cause: the writer goroutine set its timer anew at each wake-up, so that it never fired under load.

Change: the timer is set only when it has fired or what it waits for has changed.

--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -497,3 +497,37 @@
 		})
 	}
 }
+
+// TestAppendsDoNotPutOffRetryAndSync guards against a log that stays unwritable after its disk has space again,
+// or that is never synced in the mode SyncInterval, because each record that arrives starts the wait anew. The
+// test appends a record each millisecond, with waits of 50 ms.
+func TestAppendsDoNotPutOffRetryAndSync(t *testing.T) {
+	disk := newFaultDisk()
+	l, _, _ := openLog(t, "d", Options{Mode: SyncInterval, SyncInterval: 50 * time.Millisecond,
+		RetryInterval: 50 * time.Millisecond, FS: disk})
+	appendUntil := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+			if _, err := l.Append([]byte("record")); err != nil {
+				t.Fatal(err)
+			}
+			if time.Now().After(end) {
+				t.Fatalf("within 10 s of appends: not %s", what)
+			}
+		}
+	}
+	appendUntil("synced", func() bool {
+		disk.mu.Lock()
+		defer disk.mu.Unlock()
+		return disk.files[filepath.Join("d", segmentName(1))].synced > segmentHeaderBytes
+	})
+	setSpaceLeft := func(bytes int) {
+		disk.mu.Lock()
+		defer disk.mu.Unlock()
+		disk.spaceLeft = bytes
+	}
+	setSpaceLeft(0)
+	appendUntil("failed on a full disk", func() bool { return l.err() != nil })
+	setSpaceLeft(-1)
+	appendUntil("written again", func() bool { return l.err() == nil })
+}
--- a/internal/wal/writer.go
+++ b/internal/wal/writer.go
@@ -30,15 +30,15 @@
 	w := &l.writer
 	timer := time.NewTimer(idleWait)
 	defer timer.Stop()
+	wait := idleWait
+	timerFired := false
 	for {
-		wait := idleWait
-		if l.err() != nil {
-			wait = l.options.RetryInterval
-		} else if w.needsSync {
-			wait = l.options.SyncInterval
+		// Records that arrive before the timer fires must not put it off.
+		if next := l.nextWait(); timerFired || next != wait {
+			wait = next
+			timer.Reset(wait)
 		}
-		timer.Reset(wait)
-		timerFired := false
+		timerFired = false
 		select {
 		case <-l.wake:
 		case <-timer.C:
@@ -63,6 +63,18 @@
 	}
 }
 
+// nextWait returns how long the writer goroutine waits for the timer: until the next try after a failure, or
+// until the next sync.
+func (l *Log) nextWait() time.Duration {
+	switch {
+	case l.err() != nil:
+		return l.options.RetryInterval
+	case l.writer.needsSync:
+		return l.options.SyncInterval
+	}
+	return idleWait
+}
+
 // groupCommit writes all pending records with a single write and syncs if the mode or a size limit requires
 // it. It starts a new segment if the current one is full. intervalElapsed reports whether the sync interval
 // has elapsed.
