Let the last reserved unit be used despite remainders, and play a torn record

One gateway held 0.9999999986 units, the two others less than 1e-9 each, which counts as none.

Cause: a gateway that is asked for tokens keeps half for its own demand, and a request was admitted within 1e-9 units only.

Change: a request may lack 1e-6 units, more than all negligible remainders together. With 1e-9 TestLastUnitIsUsableDespiteNegligibleRemainders fails ('0 of 1 unit used').

Tests: TestTornSpendingRecordIsIgnored, a torn record of a kill.

--- a/internal/gateway/spendinglog_test.go
+++ b/internal/gateway/spendinglog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -70,6 +71,40 @@
 	}
 }
 
+// TestTornSpendingRecordIsIgnored guards against a gateway that does not start, or that loses units, after a kill
+// in the middle of writing a record of spent units. The request of such a record was not forwarded.
+func TestTornSpendingRecordIsIgnored(t *testing.T) {
+	g := newTestGateway(t, 1, nil)
+	g.restartOnDisk(&faultyDisk{})
+	g.reserveForMember(100)
+	if n, last := g.dial(g.key).serve(5, `{"reserved":true,"units":1}`); n != 5 {
+		t.Fatalf("%d of 5 requests served, last answer %s", n, last)
+	}
+	g.gateway.Stop() // without a drain, so tokens stay drawn
+	segments, err := filepath.Glob(filepath.Join(g.fleet.StateDir(0), spendingLogDir, "*.log"))
+	if err != nil || len(segments) == 0 {
+		t.Fatalf("segments of the spending log: %v, %v", segments, err)
+	}
+	newest := segments[len(segments)-1]
+	content, err := os.ReadFile(newest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const tornBytes = 20 // of a record that is a copy of the last one
+	content = append(content, content[len(content)-2*tornBytes:len(content)-tornBytes]...)
+	if err := os.WriteFile(newest, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if g.gateway, err = Start(g.fleet, Options{Seed: 1}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the reservation is known", func() bool { return len(g.gateway.State().Reservations) == 1 })
+	r := g.gateway.State().Reservations[0]
+	if left := r.HeldTokens + r.DrawnTokens; math.Abs(left-95) > 1e-6 {
+		t.Errorf("%v units left after 5 of 100 were used, want 95", left)
+	}
+}
+
 // BenchmarkReservedRequests measures requests that use reserved units beside ordinary ones, at a gateway with a
 // state directory. It reports the 99th percentile of the time to the answer in milliseconds, the answers a
 // second, and the share of them that were served, as the gateway may shed load.
--- a/internal/reservation/holding.go
+++ b/internal/reservation/holding.go
@@ -118,9 +118,13 @@
 // available returns the tokens at this gateway that are spendable or can be drawn.
 func (h *holding) available() float64 { return h.drawn + h.drawing + max(0, h.free) }
 
-// covers reports whether so many tokens suffice for a number of units. Sums of tokens that gateways sent each
-// other may be off by rounding errors, which must not make the last unit unusable.
-func covers(tokens, units float64) bool { return tokens >= units-negligible }
+// coverTolerance is the number of tokens that a request may lack. It exceeds the negligible tokens that all
+// other gateways of a fleet may be left with, each of which counts as empty.
+const coverTolerance = 1000 * negligible
+
+// covers reports whether so many tokens suffice for a number of units. Rounding errors and negligible tokens
+// at other gateways must not make the last unit unusable.
+func covers(tokens, units float64) bool { return tokens >= units-coverTolerance }
 
 // gatewayCount returns the number of gateways that the member uses, at least 1.
 func (l *Ledger) gatewayCount(h *holding) int { return max(1, min(h.Spread, l.settings.Gateways)) }
