Ask gateways gently, and not before messages of an earlier process have arrived

A rank 0 whose folder was lost asked the other gateway while what its earlier process had accepted was still on its way there, took the equal sets for complete and accepted into the same room.

Change: rank 0 with a new folder waits half a second before it asks, and asks two gateways at once in place of eight, as the answers count against what a gateway can receive. The log of spending copies its list of waiting requests only if one of them is late.

--- a/internal/gateway/spendinglog.go
+++ b/internal/gateway/spendinglog.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"winghatch/internal/reservation"
@@ -146,9 +147,13 @@
 
 // rejectWaiting rejects the waiting requests whose deadline is not after a time.
 func (s *spendingLog) rejectWaiting(until time.Duration) {
+	isLate := func(w waitingAdmission) bool { return w.deadline <= until }
+	if !slices.ContainsFunc(s.waiting, isLate) {
+		return
+	}
 	var late, rest []waitingAdmission
 	for _, w := range s.waiting {
-		if w.deadline <= until {
+		if isLate(w) {
 			late = append(late, w)
 		} else {
 			rest = append(rest, w)
--- a/internal/quotaplan/completeness.go
+++ b/internal/quotaplan/completeness.go
@@ -5,20 +5,20 @@
 const (
 	// queryInterval is the time between queries of the acceptor for the changes of the other gateways.
 	queryInterval = 100 * time.Millisecond
-	// maxQueries is the number of gateways that are asked at once.
-	maxQueries = 8
+	// maxQueries is the number of gateways that are asked at once. Their answers count against the messages
+	// that a gateway can receive.
+	maxQueries = 2
+	// settleTime is how long the acceptor waits before its first query: messages with what an earlier process
+	// accepted may still be on their way to other gateways.
+	settleTime = 500 * time.Millisecond
 )
 
 // The acceptor of a folder that is new may have accepted reservations before, with a folder that was lost. It
 // accepts none until its set has been equal to that of each other gateway once, so that it has everything that
 // they have. From then on it is complete, which Settings.Complete tells its later processes.
 
-// startQueries begins to ask the other gateways for their changes, if this gateway is an acceptor with a new
-// folder.
-func (r *Replica) startQueries() {
-	r.queryAt = r.now.Mono
-	r.queryPeers()
-}
+// startQueries schedules the first query, if this gateway is an acceptor with a new folder.
+func (r *Replica) startQueries() { r.queryAt = r.now.Mono + settleTime }
 
 // queryPeers asks some of the gateways that were not heard yet for the digest of their set, in rotation.
 func (r *Replica) queryPeers() {
