--- a/internal/gateway/planlog.go
+++ b/internal/gateway/planlog.go
@@ -105,8 +105,6 @@
 	return forEachRecord(snapshot, p.restore)
 }
 
-var errSnapshotTruncated = errors.New("snapshot: truncated record")
-
 // persistChange appends a plan change to the plan log.
 func (p *quotaPlans) persistChange(action quotaplan.Persist) {
 	kind, pending := byte(recordPeerChange), pendingRecord{}
--- a/internal/gateway/spendinglog.go
+++ b/internal/gateway/spendinglog.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -174,30 +173,3 @@
 		s.plans.logger.Error("Failed to close spending log", "err", err)
 	}
 }
-
-// joinRecords encodes the records of a snapshot. Each one is preceded by its length in 4 bytes, little-endian.
-func joinRecords(records [][]byte) (snapshot []byte) {
-	for _, r := range records {
-		snapshot = binary.LittleEndian.AppendUint32(snapshot, uint32(len(r)))
-		snapshot = append(snapshot, r...)
-	}
-	return snapshot
-}
-
-// forEachRecord calls restore with each record that joinRecords encoded.
-func forEachRecord(snapshot []byte, restore func(record []byte) error) error {
-	for len(snapshot) > 0 {
-		if len(snapshot) < 4 {
-			return errSnapshotTruncated
-		}
-		length, rest := binary.LittleEndian.Uint32(snapshot), snapshot[4:]
-		if uint64(length) > uint64(len(rest)) {
-			return errSnapshotTruncated
-		}
-		if err := restore(rest[:length]); err != nil {
-			return err
-		}
-		snapshot = rest[length:]
-	}
-	return nil
-}
--- a/internal/quotaplan/acceptor_test.go
+++ b/internal/quotaplan/acceptor_test.go
@@ -156,16 +156,7 @@
 // cancelled, and if nothing changed plans or reservations, the sum must fit. To show that the simulation can
 // find a fault, the test also plants one: gateways that accept reservations each for itself.
 func TestAcceptedReservationsStayInForce(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		if s := checkAccepted(rt, false); s != "" {
-			rt.Fatal(s)
-		}
-	})
-	found := false
-	rapid.Check(t, func(rt *rapid.T) { found = checkAccepted(rt, true) != "" || found })
-	if !found {
-		t.Error("the simulation does not find the planted fault: each gateway accepts by itself")
-	}
+	searchRandomRuns(t, checkAccepted, "each gateway accepts by itself")
 }
 
 // checkAccepted runs a random simulation. It returns a description of the failure at its end, or an empty
--- a/internal/quotaplan/completeness.go
+++ b/internal/quotaplan/completeness.go
@@ -13,9 +13,9 @@
 	settleTime = 500 * time.Millisecond
 )
 
-// The acceptor of a folder that is new may have accepted reservations before, with a folder that was lost. It
-// accepts none until its set has been equal to that of each other gateway once, so that it has everything that
-// they have. From then on it is complete, which Settings.Complete tells its later processes.
+// An acceptor that starts with a new folder may have accepted reservations before, with a folder that was lost.
+// It accepts none until its set has been equal to that of each other gateway once, so that it has everything
+// that they have. From then on it is complete, and Settings.Complete tells that to its later processes.
 
 // startQueries schedules the first query, if this gateway is an acceptor with a new folder.
 func (r *Replica) startQueries() { r.queryAt = r.now.Mono + settleTime }
--- a/internal/quotaplan/effective.go
+++ b/internal/quotaplan/effective.go
@@ -51,7 +51,7 @@
 		termChanges:          map[string][]*Change{},
 		reservationsByMember: map[string][]*Change{},
 	}
-	for _, c := range r.set.ordered { // of changes with one number, a final reservation counts
+	for _, c := range r.set.ordered { // a final reservation keeps its number, whatever precedes it in the order
 		if c.final() && r.derived.byNumber[c.Number] == nil {
 			r.derived.byNumber[c.Number] = c
 		}
@@ -83,9 +83,11 @@
 	case Reserve:
 		// Gateways of earlier versions that could not reach each other may each have accepted a reservation
 		// although only one of them fits. Then the first one in the order of changes counts.
-		if err := r.checkCapacity(c, r.planAt(c.Member, c.From)); err != nil && !c.final() {
-			d.voidReasons[c] = err.Field + ": " + err.Text
-			return
+		if !c.final() {
+			if err := r.checkCapacity(c, r.planAt(c.Member, c.From)); err != nil {
+				d.voidReasons[c] = err.Field + ": " + err.Text
+				return
+			}
 		}
 		d.reservationsByMember[c.Member] = append(d.reservationsByMember[c.Member], c)
 		d.reservations = append(d.reservations, c)
--- a/internal/quotaplan/replica.go
+++ b/internal/quotaplan/replica.go
@@ -59,10 +59,10 @@
 	proposals []*proposal  // at other gateways: reservations that wait for the acceptor
 
 	// At the acceptor, see completeness.go.
-	complete  bool   // it knows what was accepted before its folder
-	heard     []bool // by rank: the set was equal to that of this gateway once
-	queryAt   time.Duration
-	queryTurn int // rank that was asked last
+	complete  bool          // its set has contained the changes of all other gateways
+	heard     []bool        // by rank: whether its set was equal to that of the gateway once
+	queryAt   time.Duration // time of the next query, on the monotonic clock
+	queryTurn int           // rank that was asked last
 }
 
 // New returns a Replica without changes.
@@ -204,7 +204,7 @@
 	r.own[hash] = true
 	r.recompute()
 	// While this change was being persisted, another gateway's change may have arrived that makes this one
-	// void, for example one with the same number.
+	// void, for example one with the same number. That cannot happen to a final reservation.
 	if reason := r.derived.voidReasons[r.set.byHash[hash]]; reason != "" {
 		r.answer(&p, p.change, invalid(&p.change, "number", "%s", reason))
 	} else {
--- a/internal/quotaplan/replica_test.go
+++ b/internal/quotaplan/replica_test.go
@@ -17,15 +17,22 @@
 // the disk of its gateway was lost. To show that the simulation can find a difference, the test also plants a
 // fault: replicas that never compare their sets.
 func TestReplicasConverge(t *testing.T) {
+	searchRandomRuns(t, checkConvergence, "replicas that never compare their sets")
+}
+
+// searchRandomRuns runs random simulations, and fails if check describes a failure of one. It runs more of them
+// with a planted fault, and fails if check finds none.
+func searchRandomRuns(t *testing.T, check func(rt *rapid.T, planted bool) string, fault string) {
+	t.Helper()
 	rapid.Check(t, func(rt *rapid.T) {
-		if s := checkConvergence(rt, false); s != "" {
+		if s := check(rt, false); s != "" {
 			rt.Fatal(s)
 		}
 	})
 	found := false
-	rapid.Check(t, func(rt *rapid.T) { found = checkConvergence(rt, true) != "" || found })
+	rapid.Check(t, func(rt *rapid.T) { found = check(rt, true) != "" || found })
 	if !found {
-		t.Error("the simulation does not find the planted fault: replicas that never compare their sets")
+		t.Errorf("the simulation does not find the planted fault: %s", fault)
 	}
 }
 
--- a/internal/reservation/holding.go
+++ b/internal/reservation/holding.go
@@ -65,8 +65,8 @@
 	received map[tokenHolder]float64   // total of the tokens received from each holder
 
 	// Persisted in spending records.
-	spentHere   float64 // units of the requests that this process admitted, at what they used once they end
-	spentNumber uint64  // number of the last spending record
+	committed       float64 // units of all requests that this process admitted; of ended ones what they used
+	committedRecord uint64  // number of the last spending record
 
 	// State of this process, not persisted.
 	drawn    float64 // spendable tokens; negative: requests used more units than they were admitted with
--- a/internal/reservation/persistence.go
+++ b/internal/reservation/persistence.go
@@ -75,10 +75,10 @@
 	}
 }
 
-// encode returns the stored form of the persisted fields, without the draws that follow it: a version byte of 1 and then, as package encoding
-// writes them, the reservation ID, the epoch, a byte of flags (1 minted, 2 ended), the units removed, the
-// free tokens, the tokens sent (number of holders, then rank, epoch and total of each) and the tokens
-// received (in the same form).
+// encode returns the stored form of the persisted fields, without the draws that appendDraws adds: a version
+// byte of 1 and then, as package encoding writes them, the reservation ID, the epoch, a byte of flags (1
+// minted, 2 ended), the units removed, the free tokens, the tokens sent (number of holders, then rank, epoch
+// and total of each) and the tokens received (in the same form).
 func (h *holding) encode() []byte {
 	b := []byte{stateVersion}
 	b = binary.LittleEndian.AppendUint64(b, h.ID)
--- a/internal/reservation/requests.go
+++ b/internal/reservation/requests.go
@@ -106,8 +106,8 @@
 	})
 }
 
-// admitWaiting admits waiting requests in order while there are enough drawn tokens and room. What it spends is
-// recorded before.
+// admitWaiting admits waiting requests in order while there are enough drawn tokens and room. The record of what
+// they spend precedes their Admit actions, so that a kill cannot let the same tokens be spent again.
 func (l *Ledger) admitWaiting(h *holding) {
 	spent := 0.0
 	n := 0
@@ -146,8 +146,8 @@
 }
 
 // drawTokens moves tokens from the free to the drawn ones before they are spent. A process that starts after a
-// crash of the machine finds only the free ones, so no token is spent twice. It draws when the drawn tokens do not cover the
-// waiting requests, or, while there is demand, when less than half of a draw is left.
+// crash of the machine finds only the free ones, so no token is spent twice. drawTokens draws when the drawn
+// tokens do not cover the waiting requests, or, while there is demand, when less than half of a draw is left.
 func (l *Ledger) drawTokens(h *holding) {
 	if l.draining {
 		return
--- a/internal/reservation/spending.go
+++ b/internal/reservation/spending.go
@@ -4,21 +4,22 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 
 	"winghatch/internal/encoding"
 )
 
-// The spent units of a reservation at this gateway are recorded each time that they change, before the
-// requests that they were spent on are forwarded. A record has the stored form: a version byte of 1 and then
-// the reservation ID (0: the process began), the process, the number of the record and the units spent by
-// the process. Records of one reservation and process replace each other; the one with the highest number
-// counts.
+// spendingVersion is the first byte of a spending record. Then follow the reservation ID, the epoch of the
+// process, the number of the record, and all units that the process has spent of the reservation so far. With a
+// reservation ID of 0, the record states only that the process writes spending records. Of the records of one
+// process and reservation, the one with the highest number counts.
 const spendingVersion = 1
 
 // spendingKey identifies what one process of this gateway spent of a reservation.
 type spendingKey struct {
-	process, reservation uint64
+	process     uint64 // epoch of the process, see Settings.Epoch
+	reservation uint64 // ID of the reservation
 }
 
 // spending is the content of a spending record.
@@ -85,30 +86,31 @@
 			records = append(records, encodeSpending(spendingKey{process: process}, spending{}))
 		}
 	}
-	for k, s := range l.recorded.spent {
+	for _, k := range slices.SortedFunc(maps.Keys(l.recorded.spent), compareSpendingKeys) {
 		if l.recorded.needed[k.process] {
-			records = append(records, encodeSpending(k, s))
+			records = append(records, encodeSpending(k, l.recorded.spent[k]))
 		}
 	}
-	for _, h := range l.holdings {
-		if h.spentNumber > 0 {
+	for _, id := range sortedKeys(l.holdings) {
+		if h := l.holdings[id]; h.committedRecord > 0 {
 			records = append(records, l.spendingRecord(h))
 		}
 	}
 	return records
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) (keys []K) {
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
+// sortedKeys returns the keys of a map in ascending order, so that the same events always produce the same
+// bytes.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// compareSpendingKeys orders keys by process and then by reservation.
+func compareSpendingKeys(a, b spendingKey) int {
+	return cmp.Or(cmp.Compare(a.process, b.process), cmp.Compare(a.reservation, b.reservation))
 }
 
 // spendingRecord returns the record of what this process has spent of a reservation.
 func (l *Ledger) spendingRecord(h *holding) []byte {
-	return encodeSpending(spendingKey{l.settings.Epoch, h.ID}, spending{h.spentNumber, h.spentHere})
+	return encodeSpending(spendingKey{l.settings.Epoch, h.ID}, spending{h.committedRecord, h.committed})
 }
 
 // spend adds to the units that this process has spent and emits their record. units is negative if an ended
@@ -117,9 +119,9 @@
 	if units == 0 {
 		return
 	}
-	h.spentHere += units
+	h.committed += units
 	l.lastSpending++
-	h.spentNumber = l.lastSpending
+	h.committedRecord = l.lastSpending
 	l.emit(RecordSpending{l.spendingRecord(h)})
 }
 
@@ -130,10 +132,10 @@
 	total   float64 // all tokens that the process had drawn and not made free again
 }
 
-// appendDraws appends the draws of this process to a stored state. Earlier versions ignore them. Nothing is
-// appended as long as nothing is drawn, or if the next process could not use it.
+// appendDraws appends the draws of this process to a stored state. Earlier versions ignore them. It appends
+// nothing while nothing is drawn, after the end of the reservation, or if the start of the machine is not known.
 func (l *Ledger) appendDraws(state []byte, h *holding) []byte {
-	total := h.drawn + h.drawing + h.spentHere
+	total := h.drawn + h.drawing + h.committed
 	if total == 0 || h.ended || l.settings.Boot == 0 {
 		return state
 	}
